--- /dev/null
+++ b/libs/entry/include/hyssopcross/entry/Call.h
@@ -0,0 +1,76 @@
+#ifndef HYSSOPCROSS_ENTRY_CALL_H
+#define HYSSOPCROSS_ENTRY_CALL_H
+
+#include "hyssopcross/base/Clock.h"
+#include "hyssopcross/entry/PoolHost.h"
+#include "hyssopcross/protocol/Outcome.h"
+#include "hyssopcross/web/HttpServer.h"
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hyssopcross::entry {
+
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
+/// A caller's request, as it came from the caller or from another entry VM.
+/// The body is a view of the transport's buffer.
+struct IncomingCall {
+  std::string m_Service;
+  std::string m_Method;
+  /// Path and query at the backend server.
+  std::string m_Target;
+  std::string_view m_Body;
+  /// Headers to pass on to the backend server.
+  HeaderList m_Headers;
+  std::string m_CorrelationId;
+  std::string m_IdempotencyKey;
+  /// Digest of the body as the caller states it; empty if it does not.
+  std::string m_ContentDigest;
+  std::string m_TraceParent;
+  std::string m_ShareKey;
+  WallTime m_Deadline;
+  uint32_t m_Attempts = 0;
+  uint32_t m_Depth = 1;
+  /// Forwards between entry VMs so far.
+  uint32_t m_Hops = 0;
+  /// Set if another pool's owner gave the call up to this VM.
+  bool m_HandedOver = false;
+};
+
+/// The answer to a caller's request.
+struct CallerAnswer {
+  protocol::Outcome m_Outcome = protocol::Outcome::NotRun;
+  unsigned m_Status = 500;
+  HeaderList m_Headers;
+  std::string m_Body;
+};
+
+/// Reads a request whose path is /call/SERVICE/REST. The deadline is the
+/// earlier of the caller's absolute and relative ones, or DefaultTimeout from
+/// now. Fails with InvalidInput and a sentence that names the header.
+Result<IncomingCall> parseCall(const web::HttpRequest &Request, WallTime Now,
+                               Duration DefaultTimeout);
+
+/// Headers between two hops only, which are never passed on.
+bool isHopHeader(std::string_view Name);
+
+/// An answer that the system itself gives: JSON with a stable code and a
+/// sentence.
+CallerAnswer originatedAnswer(unsigned Status, protocol::Outcome Outcome,
+                              std::string_view Code, std::string_view Message);
+
+/// The same with Retry-After, for a refusal.
+CallerAnswer refusedAnswer(unsigned Status, std::string_view Code,
+                           std::string_view Message, Duration RetryAfter);
+
+/// The answer for a call that the pool refused.
+CallerAnswer answerRefusal(const CallRefused &Refused);
+
+/// The answer for a call whose attempt has ended. DeadlinePassed tells an
+/// answer that came too late from a broken one.
+CallerAnswer answerAttempt(backend::ServerAnswer Answer, bool DeadlinePassed);
+
+} // namespace hyssopcross::entry
+
+#endif
