Add the composition of an entry VM and its daemon

Cause: the slices' decisions need a host: control thread, pools, claims, router, the callers' HTTP front and the messages between entry VMs. Measured: compiles against the slices' headers; not run yet.

--- a/libs/entry/include/hyssopcross/entry/PoolHost.h
+++ b/libs/entry/include/hyssopcross/entry/PoolHost.h
@@ -6,11 +6,25 @@
 #include "hyssopcross/entry/Workers.h"
 #include <condition_variable>
 #include <deque>
+#include <memory>
 #include <mutex>
 #include <set>
 
 namespace hyssopcross::entry {
 
+/// Asked around each send of a call whose class restricts sends. Called on the
+/// thread that sends, while the pool is not locked.
+class SendGate {
+public:
+  virtual ~SendGate() = default;
+
+  /// Whether the call may be sent to a backend server now.
+  virtual bool maySend() = 0;
+
+  /// A send that was allowed has ended.
+  virtual void sendEnded(const backend::ServerAnswer &Answer) = 0;
+};
+
 /// A call to run in a pool. The views of the request must stay valid until
 /// run() returns.
 struct CallRequest {
@@ -20,6 +34,8 @@
   uint32_t m_PriorAttempts = 0;
   uint32_t m_Depth = 1;
   bool m_HandedOver = false;
+  /// Null if sends need no permission.
+  SendGate *m_Gate = nullptr;
 };
 
 /// An attempt's answer is the call's result.
@@ -68,7 +84,7 @@
 /// Hosts the decisions for one pool: feeds events in, carries actions out, and
 /// lets each call wait in the thread that brought it. All functions are safe
 /// from any thread.
-class PoolHost {
+class PoolHost : public std::enable_shared_from_this<PoolHost> {
 public:
   PoolHost(balancing::PoolState State, const Clock &Time,
            backend::Connections &Servers, Workers &Helpers, PoolPorts &Ports);
@@ -124,6 +140,8 @@
                         backend::ServerAnswer Answer);
   void performAttempt(std::unique_lock<std::mutex> &Lock, WaitingCall &Call,
                       const balancing::SendAttempt &Attempt);
+  backend::ServerAnswer send(const CallRequest &Call,
+                             backend::Channel &Used) const;
   void probe(const balancing::ServerId &Server);
   void reportConnectionsLocked(const balancing::ServerId &Server);
 
--- /dev/null
+++ b/libs/entry/include/hyssopcross/entry/Pools.h
@@ -0,0 +1,67 @@
+#ifndef HYSSOPCROSS_ENTRY_POOLS_H
+#define HYSSOPCROSS_ENTRY_POOLS_H
+
+#include "hyssopcross/entry/Loop.h"
+#include "hyssopcross/entry/PoolHost.h"
+#include <functional>
+#include <shared_mutex>
+
+namespace hyssopcross::entry {
+
+/// What the pools of a VM tell the outside. Called while a pool is locked:
+/// implementations neither block nor call back.
+struct PoolOutside {
+  std::function<LeaseStanding(const balancing::PoolId &)> m_Standing;
+  std::function<void(const balancing::PoolId &, bool)> m_AnnounceQueueing;
+  std::function<void(const balancing::PoolId &, const balancing::PoolId &,
+                     uint32_t)>
+      m_AskPull;
+};
+
+/// The pools that this VM decides for. Safe from any thread.
+class Pools final : public PoolPorts {
+public:
+  Pools(const Clock &Time, balancing::PoolPolicy Policy, uint64_t Seed,
+        PoolOutside Outside);
+
+  /// The pool, or null if this VM does not decide for it.
+  std::shared_ptr<PoolHost> find(const balancing::PoolId &Pool) const;
+
+  /// All pools that this VM decides for.
+  std::vector<std::pair<balancing::PoolId, std::shared_ptr<PoolHost>>>
+  all() const;
+
+  /// Starts to decide for a pool. Servers and digest are what is known of it.
+  void add(const balancing::PoolId &Pool, const catalogue::ServiceEntry &Entry,
+           const std::vector<balancing::ServerRecord> &Servers,
+           const balancing::TookOver &Digest);
+
+  /// Stops to decide for a pool: what is queued is refused or handed over, and
+  /// what runs runs on.
+  void remove(const balancing::PoolId &Pool);
+
+  /// Connections to backend servers, shared by all pools.
+  backend::Connections &connections() { return m_Connections; }
+
+  LeaseStanding standing(const balancing::PoolId &Pool) override;
+  void wakeAt(const balancing::PoolId &Pool, TimePoint Time) override;
+  void announceQueueing(const balancing::PoolId &Pool, bool Queueing) override;
+  void askPull(const balancing::PoolId &Pool, const balancing::PoolId &Target,
+               uint32_t FreeSlots) override;
+
+private:
+  const Clock &m_Clock;
+  balancing::PoolPolicy m_Policy;
+  uint64_t m_NextSeed;
+  PoolOutside m_Outside;
+  backend::Connections m_Connections;
+  mutable std::shared_mutex m_Mutex;
+  std::map<balancing::PoolId, std::shared_ptr<PoolHost>> m_Pools;
+  // Last, so that the threads end before what they use.
+  Workers m_Helpers;
+  Loop m_Timers;
+};
+
+} // namespace hyssopcross::entry
+
+#endif
--- /dev/null
+++ b/libs/entry/src/ControlMembership.cpp
@@ -0,0 +1,120 @@
+#include "WireCodec.h"
+#include "hyssopcross/base/Log.h"
+#include "hyssopcross/entry/Control.h"
+
+namespace hyssopcross::entry {
+
+namespace {
+
+/// Share of a heartbeat for the owners of pools, in bytes.
+constexpr size_t OwnerDigestBytes = 160;
+
+/// Catalogue versions of other VMs passed on in a heartbeat.
+constexpr size_t VersionsInHeartbeat = 4;
+
+} // namespace
+
+void Control::stepMembership(const membership::Event &Event) {
+  std::vector<membership::Action> Actions;
+  step(m_Membership, Event, m_Parts.m_Clock.now(), Actions);
+  for (const membership::Action &Next : Actions)
+    std::visit([this](const auto &Known) { carryOut(Known); }, Next);
+}
+
+void Control::carryOut(const membership::SendHeartbeat &Action) {
+  HeartbeatBundle Bundle;
+  Bundle.m_Heartbeat = Action.m_Message;
+  Bundle.m_Owners = addresses::nextOwnerDigest(m_Owners, OwnerDigestBytes);
+  Bundle.m_Versions = catalogue::versionsToPass(m_InForce, VersionsInHeartbeat);
+  Bundle.m_Versions.push_back(
+      {m_Settings.m_Self.m_Name, catalogue::currentVersion(m_Follower)});
+  sendPeer(Action.m_PeerAddress,
+           [Wire = toWire(Bundle)](peer::wire::PeerClient &Peer) {
+             Peer.heartbeat(Wire);
+           });
+}
+
+void Control::carryOut(const membership::PollVmList &) { fetchVmList(); }
+
+void Control::fetchVmList() {
+  m_Parts.m_StoreThreads.post([this] {
+    auto Fetched = m_Parts.m_VmList.fetch();
+    if (!Fetched) {
+      logEvent(LogLevel::Warning, "vm_list_not_read",
+               {{"error", Fetched.error().m_Message}});
+      post([this] { stepMembership(membership::VmListFetched{}); });
+      return;
+    }
+    post([this, Records = std::move(Fetched.value())] {
+      m_WholeList = Records;
+      stepMembership(membership::VmListFetched{Records});
+      updatePoolIds();
+      updateServers();
+    });
+  });
+}
+
+void Control::carryOut(const membership::PollCatalogueHead &) {
+  // The follower polls by itself on the VMs that membership names.
+}
+
+void Control::carryOut(const membership::SendVmListRequest &Action) {
+  sendPeer(Action.m_PeerAddress,
+           [Wire = toWire(Action.m_Message)](peer::wire::PeerClient &Peer) {
+             Peer.requestVmList(Wire);
+           });
+}
+
+void Control::carryOut(const membership::SendVmListAnswer &Action) {
+  sendPeer(Action.m_PeerAddress,
+           [Wire = toWire(Action.m_Message)](peer::wire::PeerClient &Peer) {
+             Peer.answerVmList(Wire);
+           });
+}
+
+void Control::carryOut(const membership::VmListChanged &Action) {
+  m_Records = Action.m_Records;
+  updatePoolIds();
+  updateServers();
+}
+
+void Control::carryOut(const membership::ViewChanged &) {
+  m_ChangedAt = m_Parts.m_Clock.now();
+  m_PublishDue = true;
+  std::set<std::string> Live;
+  for (const membership::MemberView &Each :
+       membership::view(m_Membership, m_ChangedAt).m_Members)
+    if (Each.m_Status == membership::VmStatus::Alive)
+      Live.insert(Each.m_Info.m_Name);
+  catalogue::setLive(m_InForce, std::move(Live));
+  stepFollower(catalogue::NeighboursChanged{m_Membership.m_Neighbours});
+  stepFollower(catalogue::PollerChanged{membership::isPoller(m_Membership)});
+  updateCandidates();
+}
+
+void Control::carryOut(const membership::IncarnationRaised &Action) {
+  logEvent(LogLevel::Warning, "incarnation_raised",
+           {{"incarnation", Action.m_Incarnation}});
+}
+
+void Control::carryOut(const membership::WakeAt &Action) {
+  m_Loop->schedule("membership", Action.m_Time, [this] {
+    stepMembership(membership::Woke{});
+    if (m_PublishDue)
+      publish();
+  });
+}
+
+void Control::heard(const HeartbeatBundle &Bundle) {
+  stepMembership(membership::HeartbeatArrived{Bundle.m_Heartbeat});
+  for (const addresses::OwnerEntry &Each : Bundle.m_Owners)
+    learn(Each);
+  TimePoint Now = m_Parts.m_Clock.now();
+  for (const catalogue::VmVersion &Each : Bundle.m_Versions) {
+    catalogue::observe(m_InForce, Each, Now);
+    if (Each.m_Vm == Bundle.m_Heartbeat.m_From.m_Name)
+      stepFollower(catalogue::PeerVersion{Each.m_Vm, Each.m_Version});
+  }
+}
+
+} // namespace hyssopcross::entry
--- /dev/null
+++ b/libs/entry/src/Node.cpp
@@ -0,0 +1,181 @@
+#include "hyssopcross/entry/Node.h"
+#include "hyssopcross/base/Log.h"
+#include "hyssopcross/platform/HttpPlatform.h"
+#include <thread>
+
+namespace hyssopcross::entry {
+
+namespace {
+
+/// Pause between two looks at whether a stop is done.
+constexpr Duration StopPoll = std::chrono::milliseconds(20);
+
+uint64_t incarnation(const Clock &Time) {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          Time.wallNow().time_since_epoch())
+          .count());
+}
+
+ControlSettings controlSettings(const NodeSettings &Settings,
+                                const Clock &Time) {
+  ControlSettings Made;
+  Made.m_Self = {Settings.m_Name,
+                 incarnation(Time),
+                 Settings.m_DataCentre,
+                 Settings.m_Region,
+                 Settings.m_Listen.toString(),
+                 Settings.m_PeerListen.toString()};
+  Made.m_Membership = Settings.m_Membership;
+  Made.m_Ownership = Settings.m_Ownership;
+  Made.m_Follower = Settings.m_Follower;
+  Made.m_Addresses = Settings.m_Addresses;
+  Made.m_Distances = Settings.m_Distances;
+  Made.m_Seed = Settings.m_Seed;
+  return Made;
+}
+
+std::string processName(const NodeSettings &Settings, const Clock &Time) {
+  return Settings.m_Name + "-" + std::to_string(incarnation(Time));
+}
+
+} // namespace
+
+/// The parts of a node, in the order in which they are built. They are
+/// destroyed in reverse, so each may use those above it.
+struct Node::Parts {
+  Parts(const NodeSettings &Settings, const Clock &Time)
+      : m_Table(platform::connectTable(Settings.m_Platform,
+                                       Settings.m_StoreTimeout)),
+        m_Objects(platform::connectObjectStore(Settings.m_Platform,
+                                               Settings.m_StoreTimeout)),
+        m_VmList(platform::connectVmList(Settings.m_Platform,
+                                         Settings.m_StoreTimeout)),
+        m_Tracer(Settings.m_TraceShare, Settings.m_Seed),
+        m_Timers(std::make_unique<Loop>(Time)),
+        m_PeerThreads(std::make_unique<Workers>(Settings.m_PeerThreads)),
+        m_StoreThreads(std::make_unique<Workers>(Settings.m_StoreThreads)),
+        m_Store(*m_Table, *m_Objects, *m_StoreThreads),
+        m_Pools(Time, Settings.m_Pool, Settings.m_Seed, outside()),
+        m_Control(controlSettings(Settings, Time),
+                  {Time, m_Store, *m_VmList, *m_StoreThreads, m_Peers,
+                   *m_PeerThreads, m_Pools}),
+        m_Claims(processName(Settings, Time), Settings.m_Claims,
+                 Settings.m_Seed, Time, m_Store, *m_Timers),
+        m_Router({Time, m_Control, m_Pools, m_Claims, m_Peers, m_Tracer}),
+        m_Front(Time, m_Control, m_Router, m_Tracer, m_Metrics, Settings.m_Name,
+                Settings.m_Seed) {}
+
+  /// Ends the threads before anything that they use.
+  ~Parts() {
+    m_Callers.reset();
+    m_Operators.reset();
+    m_PeerServer.reset();
+    m_StoreThreads.reset();
+    m_PeerThreads.reset();
+    m_Control.end();
+    m_Timers.reset();
+  }
+
+  PoolOutside outside() {
+    return {[this](const balancing::PoolId &Pool) {
+              return m_Control.standing(Pool);
+            },
+            [this](const balancing::PoolId &Pool, bool Queueing) {
+              m_Control.announceQueueing(Pool, Queueing);
+            },
+            [this](const balancing::PoolId &Pool,
+                   const balancing::PoolId &Target, uint32_t FreeSlots) {
+              m_Control.askPull(Pool, Target, FreeSlots);
+            }};
+  }
+
+  std::unique_ptr<platform::Table> m_Table;
+  std::unique_ptr<platform::ObjectStore> m_Objects;
+  std::unique_ptr<platform::VmList> m_VmList;
+  trace::Tracer m_Tracer;
+  Metrics m_Metrics;
+  peer::PeerClients m_Peers;
+  std::unique_ptr<Loop> m_Timers;
+  std::unique_ptr<Workers> m_PeerThreads;
+  std::unique_ptr<Workers> m_StoreThreads;
+  StoreAccess m_Store;
+  Pools m_Pools;
+  Control m_Control;
+  ClaimsHost m_Claims;
+  Router m_Router;
+  CallerFront m_Front;
+  std::unique_ptr<peer::PeerServer> m_PeerServer;
+  std::unique_ptr<web::HttpServer> m_Operators;
+  std::unique_ptr<web::HttpServer> m_Callers;
+};
+
+Node::Node(NodeSettings Settings)
+    : m_Settings(std::move(Settings)),
+      m_Parts(std::make_unique<Parts>(m_Settings, m_Clock)) {}
+
+Node::~Node() = default;
+
+Result<void> Node::start() {
+  auto Peers = peer::PeerServer::start(
+      m_Settings.m_PeerListen,
+      std::make_shared<PeerHandler>(m_Parts->m_Control, m_Parts->m_Router));
+  if (!Peers)
+    return fail(Peers.error().m_Code, Peers.error().m_Message);
+  m_Parts->m_PeerServer = std::move(Peers.value());
+  auto Operators = web::HttpServer::start(
+      m_Settings.m_AdminListen,
+      [this](const web::HttpRequest &Request) { return answerAdmin(Request); },
+      {});
+  if (!Operators)
+    return fail(Operators.error().m_Code, Operators.error().m_Message);
+  m_Parts->m_Operators = std::move(Operators.value());
+  m_Parts->m_Control.start();
+  auto Callers = web::HttpServer::start(
+      m_Settings.m_Listen,
+      [this](const web::HttpRequest &Request) {
+        return m_Parts->m_Front.handle(Request);
+      },
+      m_Settings.m_CallerLimits);
+  if (!Callers)
+    return fail(Callers.error().m_Code, Callers.error().m_Message);
+  m_Parts->m_Callers = std::move(Callers.value());
+  logEvent(LogLevel::Info, "started",
+           {{"vm", m_Settings.m_Name},
+            {"data_centre", m_Settings.m_DataCentre},
+            {"listen", m_Settings.m_Listen.toString()},
+            {"peer_listen", m_Settings.m_PeerListen.toString()}});
+  return boost::outcome_v2::success();
+}
+
+void Node::stop() {
+  logEvent(LogLevel::Info, "stopping", {{"vm", m_Settings.m_Name}});
+  TimePoint GiveUp = m_Clock.now() + m_Settings.m_StopTimeout;
+  m_Parts->m_Control.beginStop();
+  while (!m_Parts->m_Control.drained() && m_Clock.now() < GiveUp)
+    std::this_thread::sleep_for(StopPoll);
+  m_Parts->m_Callers->stopAccepting();
+  auto Busy = [this] {
+    return m_Parts->m_Callers->runningHandlers() != 0 ||
+           m_Parts->m_Claims.open() != 0;
+  };
+  while (Busy() && m_Clock.now() < GiveUp)
+    std::this_thread::sleep_for(StopPoll);
+  logEvent(LogLevel::Info, "stopped",
+           {{"vm", m_Settings.m_Name},
+            {"drained", m_Parts->m_Control.drained() ? "true" : "false"},
+            {"open_claims", m_Parts->m_Claims.open()}});
+}
+
+web::HttpAnswer Node::answerAdmin(const web::HttpRequest &Request) {
+  web::HttpAnswer Answer;
+  if (Request.path() == "/metrics") {
+    Answer.m_Headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+    Answer.m_Body = m_Parts->m_Metrics.serialize();
+    return Answer;
+  }
+  Answer.m_Status = 404;
+  return Answer;
+}
+
+} // namespace hyssopcross::entry
--- a/libs/entry/src/PoolHost.cpp
+++ b/libs/entry/src/PoolHost.cpp
@@ -147,8 +147,10 @@
 }
 
 void PoolHost::carryOut(const SendProbe &Action) {
-  bool Posted = m_Helpers.post(
-      [this, Server = Action.m_Server] { probe(Server); }, MaxHelpedAttempts);
+  bool Posted =
+      m_Helpers.post([Self = shared_from_this(),
+                      Server = Action.m_Server] { Self->probe(Server); },
+                     MaxHelpedAttempts);
   if (!Posted)
     m_Pending.push_back(ProbeEnded{Action.m_Server, {}});
 }
@@ -197,17 +199,34 @@
                               WaitingCall &Call, const SendAttempt &Attempt) {
   std::shared_ptr<backend::Channel> Used = beginAttemptLocked(Attempt);
   backend::ServerAnswer Answer;
-  Duration Left = Call.m_Call.m_Deadline - m_Clock.now();
-  if (Used && Left > Duration::zero()) {
+  if (Used) {
     Lock.unlock();
-    backend::ServerRequest Request = Call.m_Call.m_Request;
-    Request.m_Timeout = Left;
-    Answer = Used->exchange(Request);
+    Answer = send(Call.m_Call, *Used);
     Lock.lock();
   }
   endAttemptLocked(Call, Attempt, std::move(Used), std::move(Answer));
 }
 
+backend::ServerAnswer PoolHost::send(const CallRequest &Call,
+                                     backend::Channel &Used) const {
+  backend::ServerAnswer Answer;
+  if (Call.m_Gate && !Call.m_Gate->maySend()) {
+    Answer.m_Detail = "the send was not allowed";
+    return Answer;
+  }
+  Duration Left = Call.m_Deadline - m_Clock.now();
+  if (Left > Duration::zero()) {
+    backend::ServerRequest Request = Call.m_Request;
+    Request.m_Timeout = Left;
+    Answer = Used.exchange(Request);
+  } else {
+    Answer.m_Detail = "the deadline has passed";
+  }
+  if (Call.m_Gate)
+    Call.m_Gate->sendEnded(Answer);
+  return Answer;
+}
+
 void PoolHost::probe(const ServerId &Server) {
   backend::ServerRequest Request;
   Request.m_Method = "GET";
--- a/libs/peer/src/PeerClients.cpp
+++ b/libs/peer/src/PeerClients.cpp
@@ -1,12 +1,12 @@
 #include "hyssopcross/peer/PeerClients.h"
 #include "hyssopcross/base/Settings.h"
-#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
 
 namespace hyssopcross::peer {
 
-using apache::thrift::protocol::TBinaryProtocol;
+using apache::thrift::protocol::TCompactProtocol;
 using apache::thrift::transport::TBufferedTransport;
 using apache::thrift::transport::TSocket;
 
@@ -30,7 +30,7 @@
   explicit Connection(const Address &Peer)
       : m_Socket(std::make_shared<TSocket>(Peer.m_Host, Peer.m_Port)),
         m_Transport(std::make_shared<TBufferedTransport>(m_Socket)),
-        m_Client(std::make_shared<TBinaryProtocol>(m_Transport)) {
+        m_Client(std::make_shared<TCompactProtocol>(m_Transport)) {
     m_Socket->setConnTimeout(ConnectTimeoutMilliseconds);
     m_Socket->setNoDelay(true);
   }
--- a/libs/peer/src/PeerServer.cpp
+++ b/libs/peer/src/PeerServer.cpp
@@ -1,13 +1,13 @@
 #include "hyssopcross/peer/PeerServer.h"
 #include <thread>
-#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
 
 namespace hyssopcross::peer {
 
-using apache::thrift::protocol::TBinaryProtocolFactory;
+using apache::thrift::protocol::TCompactProtocolFactory;
 using apache::thrift::server::TServerEventHandler;
 using apache::thrift::server::TThreadedServer;
 using apache::thrift::transport::TBufferedTransportFactory;
@@ -41,7 +41,7 @@
   State->m_Server = std::make_unique<TThreadedServer>(
       std::make_shared<wire::PeerProcessor>(std::move(Handler)),
       State->m_Socket, std::make_shared<TBufferedTransportFactory>(),
-      std::make_shared<TBinaryProtocolFactory>());
+      std::make_shared<TCompactProtocolFactory>());
   TThreadedServer *Server = State->m_Server.get();
   State->m_Thread = std::thread([Server] { Server->serve(); });
   return std::unique_ptr<PeerServer>(new PeerServer(std::move(State)));
