Decide for a pool by queue, ramp, hedges, retries, spill and probes

Cause: the thin pool sent to the least busy server and had no warm-up, deadlines beyond expiry, hedges, retries, spill or measuring.

Change: step() keeps its form; its decisions now stand in modules of their own (Queue, Admission, Choice, Warmup, Servers, Attempts, Hedging, Retries, Spill, Probing, Baselines). Events gain Released, PeersListed, TookOver::m_Exact and AttemptEnded::m_ServerFault; digest() and figures() serve heartbeats and metrics. Policy and state have headers of their own.

The first test counted the actions of the server list together with those of the call; the list now also asks for connections and a wake-up, so the test counts the call's actions alone, and checks the attempt and the state too.

--- a/libs/balancing/include/hyssopcross/balancing/Events.h
+++ b/libs/balancing/include/hyssopcross/balancing/Events.h
@@ -83,7 +83,8 @@
   /// Whose fair share the call counts against, for example the calling tenant;
   /// may be empty.
   std::string m_ShareKey;
-  /// Attempts that earlier hops have already made for this call.
+  /// Attempts that earlier hops have already made for this call; a nested call
+  /// may count those of the calls around it.
   uint32_t m_PriorAttempts = 0;
   /// Nesting depth of the call, one for a call from outside.
   uint32_t m_Depth = 1;
@@ -102,6 +103,10 @@
   AttemptId m_Attempt = 0;
   AttemptEnd m_End = AttemptEnd::Completed;
   std::optional<LoadReport> m_Report;
+  /// False if it ended NotSent for a reason that is not the server's, such as
+  /// an idempotency claim that failed: the server's standing stays as it is,
+  /// and the call is refused without a retry.
+  bool m_ServerFault = true;
 };
 
 /// A probe was answered, or failed if it has no report.
@@ -144,10 +149,23 @@
 };
 
 /// This process has just become the pool's owner. Slots that the predecessor
-/// may have left in flight count as taken until Until.
+/// may have left in flight count as taken until Until, or until the server
+/// reports fewer.
 struct TookOver {
   std::vector<ServerDigest> m_Digest;
   TimePoint m_Until;
+  /// True after a planned hand-over, where the digest's in-flight counts are
+  /// those of the release; otherwise every slot may be taken.
+  bool m_Exact = false;
+};
+
+/// This process is giving the pool up to a successor. Queued and new calls go
+/// to the pool's next owner; running ones finish here.
+struct Released {};
+
+/// The service's other pools that are in service.
+struct PeersListed {
+  std::vector<PoolId> m_Pools;
 };
 
 /// Another pool of the service has started or ended to queue.
@@ -165,10 +183,10 @@
 /// The time named by the last WakeAt action has come.
 struct Woke {};
 
-using Event =
-    std::variant<CallArrived, CallAbandoned, AttemptEnded, ProbeEnded,
-                 ConnectionsChanged, ServersListed, EntryChanged, LeaseChanged,
-                 TookOver, PeerQueueing, PullAsked, Woke>;
+using Event = std::variant<CallArrived, CallAbandoned, AttemptEnded, ProbeEnded,
+                           ConnectionsChanged, ServersListed, EntryChanged,
+                           LeaseChanged, TookOver, Released, PeersListed,
+                           PeerQueueing, PullAsked, Woke>;
 
 // Actions, from the pool to the host.
 
@@ -187,7 +205,9 @@
   AttemptId m_Attempt = 0;
 };
 
-/// The call's final result is the result of this attempt; forget the call.
+/// The call's final result is the result of this attempt; forget the call. The
+/// attempt may have ended earlier: the host keeps the results of a call's
+/// attempts until the call is forgotten.
 struct FinishCall {
   CallId m_Call = 0;
   AttemptId m_Attempt = 0;
@@ -202,6 +222,8 @@
 };
 
 /// Hand the call over to the owner of another pool, for good; forget the call.
+/// The pool is this one if this process has released it: its next owner is
+/// meant. No attempt of the call has been made here.
 struct HandOverCall {
   CallId m_Call = 0;
   PoolId m_Pool;
--- a/libs/balancing/include/hyssopcross/balancing/Pool.h
+++ b/libs/balancing/include/hyssopcross/balancing/Pool.h
@@ -2,74 +2,45 @@
 #define HYSSOPCROSS_BALANCING_POOL_H
 
 #include "hyssopcross/balancing/Events.h"
-#include <deque>
-#include <map>
-#include <random>
+#include "hyssopcross/balancing/Policy.h"
+#include "hyssopcross/balancing/State.h"
 
 namespace hyssopcross::balancing {
 
-/// How a server is chosen. All but OwnerQueue are baselines for comparison.
-enum class ChoicePolicy {
-  /// Central queue; a free slot first, then the lowest expected service time.
-  OwnerQueue,
-  /// Any server, at once, without a queue.
-  Random,
-  /// The less loaded of two random servers by own in-flight count.
-  TwoChoices,
-  /// The least loaded server by its last, possibly stale, report.
-  LeastReported,
-};
-
-/// Settings of the decisions, the same on every VM.
-struct PoolPolicy {
-  ChoicePolicy m_Choice = ChoicePolicy::OwnerQueue;
-};
-
-/// What the pool knows of a server.
-struct ServerState {
-  uint32_t m_InFlight = 0;
-  bool m_Leaving = false;
-  std::optional<LoadReport> m_Report;
-};
-
-/// A call that waits for a server or runs at one.
-struct CallState {
-  CallArrived m_Arrival;
-  std::vector<AttemptId> m_Running;
-};
-
-/// An attempt that is running.
-struct AttemptState {
-  CallId m_Call = 0;
-  ServerId m_Server;
-};
-
-/// Everything that the decisions for one pool depend on. Owned by the host,
-/// changed only by step().
-struct PoolState {
-  PoolState(PoolId Id, catalogue::ServiceEntry Entry, PoolPolicy Policy,
-            uint64_t Seed)
-      : m_Id(std::move(Id)), m_Entry(std::move(Entry)), m_Policy(Policy),
-        m_Random(Seed) {}
-
-  PoolId m_Id;
-  catalogue::ServiceEntry m_Entry;
-  PoolPolicy m_Policy;
-  std::mt19937_64 m_Random;
-  bool m_InService = true;
-  std::map<ServerId, ServerState> m_Servers;
-  std::map<CallId, CallState> m_Calls;
-  std::map<AttemptId, AttemptState> m_Attempts;
-  std::deque<CallId> m_Queue;
-  AttemptId m_LastAttempt = 0;
-};
-
 /// Applies one event to the pool and appends the actions that follow from it.
 /// Deterministic: the same states, events and instants give the same actions.
-/// Not thread-safe for one state; independent for different states.
+/// Now never goes back for one state. Not thread-safe for one state;
+/// independent for different states. Costs a few passes over the pool's
+/// servers; state is bounded by the servers, the queue and the slots.
 void step(PoolState &State, const Event &Event, TimePoint Now,
           std::vector<Action> &Actions);
 
+/// What the next owner needs to know of the pool's servers, for heartbeats:
+/// one record of about 60 bytes for each server that is listed.
+std::vector<ServerDigest> digest(const PoolState &State);
+
+/// A reading of the pool for metrics and address answers.
+struct PoolFigures {
+  uint32_t m_Servers = 0;
+  uint32_t m_Warm = 0;
+  uint32_t m_Suspect = 0;
+  uint32_t m_Cold = 0;
+  uint32_t m_Leaving = 0;
+  uint32_t m_InFlight = 0;
+  /// Slots into which a call could go right now.
+  uint32_t m_FreeSlots = 0;
+  uint32_t m_Queued = 0;
+  /// How long a call that arrives now would wait; Duration::max() if no server
+  /// can take work.
+  Duration m_ExpectedWait{};
+  /// Calls that the pool can finish in a second.
+  double m_CapacityPerSecond = 0;
+  PoolCounters m_Counters;
+};
+
+/// Reads the pool's figures. Costs one pass over its servers.
+PoolFigures figures(const PoolState &State, TimePoint Now);
+
 } // namespace hyssopcross::balancing
 
 #endif
--- /dev/null
+++ b/libs/balancing/src/Context.h
@@ -0,0 +1,45 @@
+#ifndef HYSSOPCROSS_BALANCING_CONTEXT_H
+#define HYSSOPCROSS_BALANCING_CONTEXT_H
+
+#include "hyssopcross/balancing/State.h"
+
+namespace hyssopcross::balancing {
+
+/// The state, instant and output of one step.
+struct Context {
+  PoolState &m_State;
+  TimePoint m_Now;
+  std::vector<Action> &m_Actions;
+
+  const PoolPolicy &policy() const { return m_State.m_Policy; }
+  const PolicySwitches &switches() const { return m_State.m_Policy.m_Switches; }
+  const catalogue::ServiceLimits &limits() const {
+    return m_State.m_Entry.m_Limits;
+  }
+  bool isBaseline() const {
+    return policy().m_Choice != ChoicePolicy::OwnerQueue;
+  }
+};
+
+/// A number in [0, 1) from the state's generator, the same on every platform.
+inline double drawUnit(PoolState &State) {
+  constexpr double Scale = 1.0 / 9007199254740992.0;
+  return static_cast<double>(State.m_Random() >> 11U) * Scale;
+}
+
+/// An index below Count, which is not zero.
+inline size_t drawIndex(PoolState &State, size_t Count) {
+  return State.m_Random() % Count;
+}
+
+/// A length of time multiplied by a factor that is not negative; saturates.
+inline Duration scale(Duration Length, double Factor) {
+  double Scaled = static_cast<double>(Length.count()) * Factor;
+  constexpr double Most = 9.0e18;
+  return Scaled >= Most ? Duration::max()
+                        : Duration(static_cast<int64_t>(Scaled));
+}
+
+} // namespace hyssopcross::balancing
+
+#endif
