Decide membership, leases and addresses in pure steps

Membership sends on rings of rendezvous rank within a byte rate, passes changes on and relays them between data centres. Ownership takes, renews, hands over and extends leases by compare-and-swap and promises. Addresses rank owners by crossing time.

--- /dev/null
+++ b/libs/addresses/src/Addresses.cpp
@@ -0,0 +1,162 @@
+#include "hyssopcross/addresses/Addresses.h"
+#include "Routing.h"
+#include "hyssopcross/base/Invariant.h"
+#include "hyssopcross/membership/Rendezvous.h"
+#include <algorithm>
+
+namespace hyssopcross::addresses {
+
+namespace {
+
+/// When a caller without an owner should try again: about the time to notice
+/// a dead owner and to take its lease.
+constexpr Duration NoOwnerRetryAfter = std::chrono::seconds(1);
+
+bool isNamed(const AddressAnswer &Answer, const std::string &Vm) {
+  return std::any_of(
+      Answer.m_Addresses.begin(), Answer.m_Addresses.end(),
+      [&Vm](const AnswerAddress &Known) { return Known.m_Vm == Vm; });
+}
+
+void addAddress(const RoutingView &View, AddressAnswer &Answer,
+                const std::string &Vm, const RoutingMember &Member,
+                bool Owner) {
+  if (Answer.m_Addresses.size() >= View.m_Policy.m_Addresses ||
+      isNamed(Answer, Vm))
+    return;
+  Answer.m_Addresses.push_back(
+      {Vm, Member.m_Address, Member.m_DataCentre, Owner});
+}
+
+/// Entry VMs that own no pool of the service: they forward. Their order
+/// differs from service to service, so that they share the work.
+void addForwarders(const RoutingView &View, AddressAnswer &Answer,
+                   const std::string &Service, const std::string &From) {
+  struct Forwarder {
+    Duration m_Crossing;
+    uint64_t m_Weight;
+    const std::string *m_Vm;
+    const RoutingMember *m_Member;
+  };
+  std::vector<Forwarder> Fit;
+  for (const auto &[Vm, Member] : View.m_Members)
+    if (isFit(View, Vm, Member))
+      Fit.push_back({crossing(View, From, Member.m_DataCentre),
+                     membership::rendezvousWeight("forward/" + Service, Vm),
+                     &Vm, &Member});
+  std::sort(Fit.begin(), Fit.end(), [](const Forwarder &A, const Forwarder &B) {
+    if (A.m_Crossing != B.m_Crossing)
+      return A.m_Crossing < B.m_Crossing;
+    return A.m_Weight > B.m_Weight;
+  });
+  for (const Forwarder &Known : Fit)
+    addAddress(View, Answer, *Known.m_Vm, *Known.m_Member, false);
+}
+
+bool isChanging(const RoutingView &View, const std::string &Service,
+                TimePoint Now) {
+  TimePoint Bound = Now - View.m_Policy.m_ChangingFor;
+  if (!View.m_Current || View.m_ChangedAt > Bound)
+    return true;
+  return std::any_of(View.m_Owners.m_Owners.begin(),
+                     View.m_Owners.m_Owners.end(), [&](const auto &Entry) {
+                       return Entry.first.m_Service == Service &&
+                              (Entry.second.m_LearnedAt > Bound ||
+                               Entry.second.m_Owner.empty());
+                     });
+}
+
+Duration holds(const RoutingView &View, const std::string &Service,
+               TimePoint Now, double Random) {
+  const AddressPolicy &Policy = View.m_Policy;
+  bool Short = Policy.m_ShortenWhileChanging && isChanging(View, Service, Now);
+  Duration Full = Short ? Policy.m_HoldsWhileChanging : Policy.m_Holds;
+  double Share = 1.0 - Policy.m_Jitter * Random;
+  return std::chrono::duration_cast<Duration>(Full * Share);
+}
+
+ForwardDecision refuse(const PoolId &Pool, ForwardRefusal Reason) {
+  ForwardDecision Decision;
+  Decision.m_Pool = Pool;
+  Decision.m_Refusal = Reason;
+  if (Reason == ForwardRefusal::NoOwner)
+    Decision.m_RetryAfter = NoOwnerRetryAfter;
+  return Decision;
+}
+
+ForwardDecision follow(const RoutingView &View, const OwnerRoute &Route) {
+  ForwardDecision Decision;
+  Decision.m_Pool = Route.m_Pool;
+  Decision.m_Vm = Route.m_Vm;
+  Decision.m_PeerAddress = Route.m_Member->m_PeerAddress;
+  Decision.m_Kind =
+      Route.m_Vm == View.m_Self ? ForwardKind::ServeHere : ForwardKind::Forward;
+  return Decision;
+}
+
+} // namespace
+
+void setMembers(RoutingView &View, const membership::View &Members) {
+  View.m_Self = Members.m_Self;
+  View.m_Current = Members.m_Fresh;
+  View.m_Members.clear();
+  for (const membership::MemberView &Known : Members.m_Members) {
+    const membership::VmInfo &Info = Known.m_Info;
+    View.m_Members[Info.m_Name] = {Info.m_DataCentre, Info.m_Address,
+                                   Info.m_PeerAddress, Known.m_Status};
+    if (Info.m_Name == Members.m_Self)
+      View.m_DataCentre = Info.m_DataCentre;
+  }
+}
+
+Result<AddressAnswer> addressesFor(const RoutingView &View,
+                                   std::string_view Service,
+                                   std::string_view CallerDataCentre,
+                                   TimePoint Now, double Random) {
+  HYSSOPCROSS_INVARIANT(Random >= 0.0 && Random < 1.0,
+                        "the random share is in [0, 1)");
+  std::string Name(Service);
+  if (!View.m_Catalogue.m_Services.contains(Name))
+    return fail(ErrorCode::NotFound,
+                "service \"" + Name + "\" is not in the catalogue");
+  std::string From(CallerDataCentre);
+  AddressAnswer Answer;
+  for (const OwnerRoute &Route :
+       ownerRoutes(View, Name, From, RouteUse::Answer))
+    addAddress(View, Answer, Route.m_Vm, *Route.m_Member, true);
+  addForwarders(View, Answer, Name, From);
+  Answer.m_Holds = holds(View, Name, Now, Random);
+  return Answer;
+}
+
+std::optional<BetterAddress> betterAddress(const RoutingView &View,
+                                           std::string_view Service,
+                                           std::string_view CallerDataCentre) {
+  std::vector<OwnerRoute> Routes =
+      ownerRoutes(View, std::string(Service), std::string(CallerDataCentre),
+                  RouteUse::Answer);
+  if (Routes.empty() || Routes.front().m_Vm == View.m_Self)
+    return {};
+  const OwnerRoute &Best = Routes.front();
+  return BetterAddress{Best.m_Vm, Best.m_Member->m_Address, Best.m_Pool};
+}
+
+ForwardDecision decideForward(const RoutingView &View, const PoolId &Pool,
+                              uint32_t Hops) {
+  if (!View.m_Catalogue.m_Services.contains(Pool.m_Service))
+    return refuse(Pool, ForwardRefusal::UnknownService);
+  std::vector<OwnerRoute> Routes =
+      ownerRoutes(View, Pool.m_Service, Pool.m_DataCentre, RouteUse::Call);
+  if (Routes.empty())
+    return refuse(Pool, ForwardRefusal::NoOwner);
+  bool MayForward =
+      Hops < View.m_Policy.m_MaxHops || !View.m_Policy.m_LimitHops;
+  if (MayForward)
+    return follow(View, Routes.front());
+  for (const OwnerRoute &Route : Routes)
+    if (Route.m_Vm == View.m_Self)
+      return follow(View, Route);
+  return refuse(Pool, ForwardRefusal::TooManyHops);
+}
+
+} // namespace hyssopcross::addresses
--- /dev/null
+++ b/libs/addresses/src/OwnerTable.cpp
@@ -0,0 +1,84 @@
+#include "hyssopcross/addresses/OwnerTable.h"
+#include "hyssopcross/base/Invariant.h"
+#include "hyssopcross/membership/Encoding.h"
+
+namespace hyssopcross::addresses {
+
+namespace {
+
+/// Times that a VM passes a change on.
+constexpr uint32_t ChangeSends = 6;
+
+/// A digest under construction.
+struct Draft {
+  std::vector<OwnerEntry> m_Entries;
+  std::set<PoolId> m_Named;
+  size_t m_BytesLeft = 0;
+};
+
+bool add(Draft &Made, const PoolId &Pool, const OwnerRecord &Record) {
+  OwnerEntry Entry{Pool, Record.m_Owner, Record.m_Epoch};
+  size_t Size = encodedSize(Entry);
+  if (Size > Made.m_BytesLeft)
+    return false;
+  Made.m_BytesLeft -= Size;
+  Made.m_Named.insert(Pool);
+  Made.m_Entries.push_back(std::move(Entry));
+  return true;
+}
+
+void addChanges(OwnerTable &Table, Draft &Made) {
+  for (auto &[Pool, Record] : Table.m_Owners) {
+    if (Record.m_SendsLeft == 0 || !add(Made, Pool, Record))
+      continue;
+    --Record.m_SendsLeft;
+  }
+}
+
+void addRotation(OwnerTable &Table, Draft &Made) {
+  auto It = Table.m_Owners.upper_bound(Table.m_Cursor);
+  for (size_t Count = Table.m_Owners.size(); Count != 0; --Count, ++It) {
+    if (It == Table.m_Owners.end())
+      It = Table.m_Owners.begin();
+    if (!Made.m_Named.contains(It->first) && !add(Made, It->first, It->second))
+      return;
+    Table.m_Cursor = It->first;
+  }
+}
+
+} // namespace
+
+bool learnOwner(OwnerTable &Table, const OwnerEntry &Entry, TimePoint Now) {
+  auto [Found, Added] = Table.m_Owners.try_emplace(Entry.m_Pool);
+  OwnerRecord &Known = Found->second;
+  if (!Added && Entry.m_Epoch <= Known.m_Epoch)
+    return false;
+  HYSSOPCROSS_INVARIANT(Added || Entry.m_Epoch > Known.m_Epoch,
+                        "the epoch of a known owner never goes back");
+  bool Changed = Added || Entry.m_Owner != Known.m_Owner;
+  Known = {Entry.m_Owner, Entry.m_Epoch, Now, ChangeSends};
+  return Changed;
+}
+
+std::vector<OwnerEntry> nextOwnerDigest(OwnerTable &Table, size_t ByteBudget) {
+  Draft Made;
+  Made.m_BytesLeft = ByteBudget;
+  addChanges(Table, Made);
+  addRotation(Table, Made);
+  return std::move(Made.m_Entries);
+}
+
+void keepPools(OwnerTable &Table, const std::set<PoolId> &Kept) {
+  std::erase_if(Table.m_Owners, [&Kept](const auto &Entry) {
+    return !Kept.contains(Entry.first);
+  });
+}
+
+size_t encodedSize(const OwnerEntry &Entry) {
+  using namespace membership;
+  return StructField + stringField(Entry.m_Pool.m_Service) +
+         stringField(Entry.m_Pool.m_DataCentre) + StructEnd +
+         stringField(Entry.m_Owner) + integerField(Entry.m_Epoch) + StructEnd;
+}
+
+} // namespace hyssopcross::addresses
--- /dev/null
+++ b/libs/addresses/src/Routing.cpp
@@ -0,0 +1,99 @@
+#include "Routing.h"
+#include <algorithm>
+
+namespace hyssopcross::addresses {
+
+namespace {
+
+std::string regionOf(const RoutingView &View, const std::string &DataCentre) {
+  auto Found = View.m_Catalogue.m_DataCentres.find(DataCentre);
+  return Found == View.m_Catalogue.m_DataCentres.end() ? std::string()
+                                                       : Found->second.m_Region;
+}
+
+std::optional<Duration> setDistance(const RoutingView &View,
+                                    const std::string &From,
+                                    const std::string &To) {
+  auto Found = View.m_Distances.find({From, To});
+  if (Found == View.m_Distances.end())
+    Found = View.m_Distances.find({To, From});
+  if (Found == View.m_Distances.end())
+    return {};
+  return Found->second;
+}
+
+const RoutingMember *findMember(const RoutingView &View,
+                                const std::string &Vm) {
+  auto Found = View.m_Members.find(Vm);
+  return Found == View.m_Members.end() ? nullptr : &Found->second;
+}
+
+} // namespace
+
+bool isInService(const RoutingView &View, const std::string &DataCentre) {
+  if (!View.m_Policy.m_LeaveOutOfService)
+    return true;
+  auto Found = View.m_Catalogue.m_DataCentres.find(DataCentre);
+  return Found == View.m_Catalogue.m_DataCentres.end() ||
+         Found->second.m_InService;
+}
+
+bool isFit(const RoutingView &View, const std::string &Vm,
+           const RoutingMember &Member) {
+  if (View.m_Policy.m_LeaveOutOfService &&
+      View.m_Catalogue.m_VmsOut.contains(Vm))
+    return false;
+  if (!isInService(View, Member.m_DataCentre))
+    return false;
+  if (!View.m_Policy.m_LeaveOutUnfit)
+    return true;
+  if (Vm == View.m_Self && !View.m_Current)
+    return false;
+  return Member.m_Status == membership::VmStatus::Alive;
+}
+
+Duration crossing(const RoutingView &View, const std::string &From,
+                  const std::string &To) {
+  if (From == To)
+    return Duration::zero();
+  if (auto Set = setDistance(View, From, To))
+    return *Set;
+  std::string Region = regionOf(View, From);
+  bool Same = !Region.empty() && Region == regionOf(View, To);
+  return Same ? View.m_Policy.m_SameRegionCrossing
+              : View.m_Policy.m_OtherRegionCrossing;
+}
+
+std::vector<OwnerRoute> ownerRoutes(const RoutingView &View,
+                                    const std::string &Service,
+                                    const std::string &From, RouteUse Use) {
+  struct Ordered {
+    Duration m_Crossing;
+    OwnerRoute m_Route;
+  };
+  std::vector<Ordered> Found;
+  auto It = View.m_Owners.m_Owners.lower_bound(PoolId{Service, ""});
+  for (; It != View.m_Owners.m_Owners.end() && It->first.m_Service == Service;
+       ++It) {
+    const std::string &Vm = It->second.m_Owner;
+    const RoutingMember *Member = findMember(View, Vm);
+    bool Own = Use == RouteUse::Call && Vm == View.m_Self;
+    // The pool's backend servers are in its data centre, wherever the owner.
+    if (!Member || !isInService(View, It->first.m_DataCentre) ||
+        !(Own || isFit(View, Vm, *Member)))
+      continue;
+    Found.push_back({crossing(View, From, It->first.m_DataCentre),
+                     {It->first, Vm, Member}});
+  }
+  if (View.m_Policy.m_NearestFirst)
+    std::stable_sort(Found.begin(), Found.end(),
+                     [](const Ordered &A, const Ordered &B) {
+                       return A.m_Crossing < B.m_Crossing;
+                     });
+  std::vector<OwnerRoute> Routes;
+  for (Ordered &Entry : Found)
+    Routes.push_back(std::move(Entry.m_Route));
+  return Routes;
+}
+
+} // namespace hyssopcross::addresses
--- a/libs/membership/include/hyssopcross/membership/Membership.h
+++ b/libs/membership/include/hyssopcross/membership/Membership.h
@@ -11,10 +11,12 @@
 
 /// Settings of the decisions, the same on every VM.
 ///
-/// Traffic: a VM sends to m_Neighbours VMs of its data centre, to one VM of
-/// each data centre for which it is the relay, and to one VM that it has not
-/// heard yet. All of these share m_BytesPerSecond, whatever the number of VMs;
-/// with more VMs, what changes is the time until a change has reached all.
+/// Traffic: the VMs of a data centre stand on m_Neighbours rings, each in the
+/// order of a rendezvous rank of its own, and a VM sends to its successor on
+/// each. One VM of a data centre is its relay to another one. A VM also writes
+/// to one VM at a time that the list names and that it has not heard. All of
+/// these share m_BytesPerSecond, whatever the number of VMs; with more VMs,
+/// what changes is the time until a change has reached all.
 struct MembershipPolicy {
   Duration m_Interval = std::chrono::milliseconds(1000);
   /// Silence after which a neighbour is suspect. At least two intervals.
@@ -22,11 +24,13 @@
   /// Time that a suspect VM has to refute before it counts as dead.
   Duration m_SuspicionTime = std::chrono::milliseconds(2000);
   /// Time without a beat after which a whole data centre counts as not heard.
-  Duration m_DataCentreSilence = std::chrono::seconds(8);
+  Duration m_DataCentreSilence = std::chrono::seconds(10);
   uint32_t m_Neighbours = 3;
+  /// Other data centres that a relay writes to in one interval, in turn.
+  uint32_t m_RelaysAtOnce = 2;
   /// Bytes of heartbeats that a VM sends per second, to all receivers
-  /// together.
-  uint32_t m_BytesPerSecond = 1000;
+  /// together, averaged over a few intervals.
+  uint32_t m_BytesPerSecond = 1200;
   /// Times that a VM sends a change on.
   uint32_t m_ChangeSends = 8;
   uint32_t m_PollersPerDataCentre = 2;
@@ -55,7 +59,8 @@
   VmStatus m_Status = VmStatus::Alive;
   /// When its counter, status or incarnation last changed here.
   TimePoint m_ChangedAt;
-  /// When it was last heard directly, or became ours to watch.
+  /// When it was last heard directly. A VM that has just become ours to watch
+  /// is credited with some time, since it may not know that yet.
   TimePoint m_HeardAt;
   /// Its view hash differed from ours in its last heartbeat.
   bool m_ViewDiffers = true;
@@ -88,10 +93,14 @@
   TimePoint m_LastStep;
   TimePoint m_NextBeat;
   TimePoint m_NextListPoll;
+  /// The poller to ask next, if the last one did not answer.
+  uint64_t m_ListTurn = 0;
   TimePoint m_NextCataloguePoll;
   /// False from a freeze until a neighbour is heard again.
   bool m_Fresh = true;
-  uint32_t m_OwnChangeSends = 0;
+  TimePoint m_FrozenUntil;
+  /// Bytes that may still be sent; negative after a large message.
+  int64_t m_ByteCredit = 0;
   std::map<std::string, Member> m_Members;
   std::map<std::string, DataCentreState> m_DataCentres;
   std::map<std::string, ListedVm> m_Listed;
@@ -102,11 +111,22 @@
   std::set<std::string> m_Watched;
   /// The receivers of this VM's heartbeats in its data centre.
   std::vector<std::string> m_Neighbours;
+  /// Former receivers that may still expect heartbeats, and until when they
+  /// get them.
+  std::map<std::string, TimePoint> m_Lingering;
+  /// Other data centres for which this VM is the relay.
+  std::vector<std::string> m_Relayed;
+  /// Data centres that are not heard.
+  std::set<std::string> m_Silent;
+  /// This VM polls the platform for its data centre.
+  bool m_IsPoller = false;
   bool m_TopologyStale = true;
   uint64_t m_ViewHash = 0;
   /// Where the rotating part of digests and of contacts goes on.
   std::string m_RotationCursor;
   std::string m_ContactCursor;
+  std::string m_BeatCursor;
+  uint64_t m_RelayTurn = 0;
 };
 
 // Events, from the host.
--- a/libs/ownership/include/hyssopcross/ownership/Messages.h
+++ b/libs/ownership/include/hyssopcross/ownership/Messages.h
@@ -3,26 +3,37 @@
 
 #include "hyssopcross/balancing/Events.h"
 #include <cstddef>
+#include <string>
 #include <variant>
+#include <vector>
 
 namespace hyssopcross::ownership {
 
 using balancing::PoolId;
 
-/// An owner that cannot renew asks an elector of its leases not to take any of
-/// them for the promise time.
+/// A pool and the epoch of its lease.
+struct PoolEpoch {
+  PoolId m_Pool;
+  uint64_t m_Epoch = 0;
+
+  friend bool operator==(const PoolEpoch &, const PoolEpoch &) = default;
+};
+
+/// An owner that cannot renew asks an elector of these leases not to take any
+/// of them for the promise time.
 struct PromiseRequest {
   std::string m_From;
   uint64_t m_Incarnation = 0;
   uint64_t m_Round = 0;
+  std::vector<PoolEpoch> m_Pools;
 };
 
-/// The elector's answer. Without the grant, it may take leases.
+/// The elector's answer: the pools that it promises not to take. It promises
+/// only for a lease that it has itself read as the asking owner's.
 struct PromiseAnswer {
   std::string m_From;
-  uint64_t m_Incarnation = 0;
   uint64_t m_Round = 0;
-  bool m_Granted = false;
+  std::vector<PoolEpoch> m_Granted;
 };
 
 /// An owner asks whether the receiver takes a pool over. The host fills in the
--- a/libs/ownership/include/hyssopcross/ownership/Ownership.h
+++ b/libs/ownership/include/hyssopcross/ownership/Ownership.h
@@ -21,12 +21,22 @@
 /// transactions of at most m_GroupRows rows. N pools per VM thus cost
 /// N / m_RenewEvery row writes and ceil(N / m_GroupRows) / m_RenewEvery
 /// transactions per second and VM. With the defaults, 264 pools cost 132 row
-/// writes per second in all, in at most 132 transactions. The first candidate
-/// of each pool reads its row every m_WatchEvery: 88 reads per second.
+/// writes per second in all, in at most 132 transactions. Each write is
+/// followed by a read of the new version, and the first candidate of each pool
+/// reads its row every m_WatchEvery: 220 reads per second. Electors read every
+/// m_RefreshEvery: 27 reads per second.
+///
+/// Safety: a holder counts its time from before the send of the write that
+/// took effect, a taker from after the first sight of the row's version, and
+/// both allow for m_Drift. Only the electors that the row names may take it
+/// after its time to live; all other VMs wait for the extension too. An owner
+/// that cannot renew therefore needs the promises of these few VMs, not of the
+/// whole fleet, to stay confirmed until the extension ends.
 struct OwnershipPolicy {
   Duration m_TimeToLive = std::chrono::seconds(6);
   Duration m_RenewEvery = std::chrono::seconds(2);
   Duration m_WatchEvery = std::chrono::seconds(3);
+  Duration m_RefreshEvery = std::chrono::seconds(30);
   /// Largest deviation of any VM's monotonic clock from real time, as a share.
   double m_Drift = 0.01;
   /// How long a promise binds an elector, and how often an owner that cannot
@@ -34,7 +44,7 @@
   Duration m_PromiseTime = std::chrono::seconds(6);
   Duration m_PromiseEvery = std::chrono::seconds(2);
   /// The longest time that promises keep an owner confirmed after its lease
-  /// has run out.
+  /// has run out. An owner without electors is not extended.
   Duration m_Extension = std::chrono::minutes(2);
   /// Electors of a pool, which bounds the promise messages of an owner.
   uint32_t m_Electors = 3;
@@ -67,6 +77,7 @@
   bool m_CheckClock = true;
   bool m_ReadBack = true;
   bool m_AllowDrift = true;
+  bool m_PromiseOnlyWhatWasRead = true;
 };
 
 /// Whether this VM decides for a pool.
@@ -117,26 +128,44 @@
   Releasing,
 };
 
+/// A promise received by this VM.
+struct ReceivedPromise {
+  uint64_t m_Epoch = 0;
+  TimePoint m_Until;
+};
+
 /// A planned hand-over by the owner.
 struct HandOver {
   std::string m_Successor;
+  uint64_t m_Incarnation = 0;
+  std::string m_PeerAddress;
+  /// When the answer, or after the release the confirmation, is no longer
+  /// waited for.
   TimePoint m_Deadline;
+  bool m_Accepted = false;
+  bool m_Released = false;
 };
 
 /// Everything about one pool.
 struct PoolLease {
   Role m_Role = Role::Watching;
+  /// The candidates in descending rank.
+  std::vector<std::string> m_Ranked;
   /// The row as last seen, and its version; zero if it is absent.
   std::optional<LeaseRow> m_Row;
   uint64_t m_Version = 0;
   bool m_EverRead = false;
+  /// The row was malformed or of a lower epoch.
+  bool m_Rejected = false;
   /// When this version was first seen, on this VM's clock.
   TimePoint m_SeenAt;
+  /// When the row was last read.
   TimePoint m_ReadAt;
   /// The request that is under way; zero for none.
   uint64_t m_Request = 0;
+  /// No request is sent before.
   TimePoint m_RetryAt;
-  /// Writes of this VM that may still have taken effect.
+  /// Writes of this VM that may have taken effect or still may, oldest first.
   std::deque<SentWrite> m_Sent;
   /// The row must be read before the next write.
   bool m_ReadBack = false;
@@ -147,30 +176,39 @@
   /// The status last reported by LeaseChanged.
   LeaseStatus m_Reported = LeaseStatus::NotOwner;
   uint64_t m_HighestEpoch = 0;
+  /// Until when this VM has promised not to take the lease.
+  TimePoint m_PromisedUntil;
+  /// Until when each elector has promised the same to this VM, and for which
+  /// epoch.
+  std::map<std::string, ReceivedPromise> m_Promises;
   std::optional<HandOver> m_HandOver;
-  /// VMs that refused or did not answer an offer during the stop.
+  /// A release whose result is unknown may still take effect.
+  bool m_ReleaseMayApply = false;
+  /// VMs that did not accept an offer of this pool during the stop.
   std::set<std::string> m_Refused;
-  /// The release is under way to nobody in particular.
-  bool m_ReleaseFree = false;
-};
-
-/// A request to the store that has not been answered.
-struct StoreRequest {
-  std::vector<PoolId> m_Pools;
-  bool m_Write = false;
-  TimePoint m_SentAt;
+  /// A hand-over to this VM has been accepted: its row is read often until
+  /// then.
+  TimePoint m_ExpectUntil;
+  /// The owner before this VM, as far as known, and whether it has released
+  /// the pool.
+  std::string m_Predecessor;
+  bool m_Planned = false;
+  /// When the pool was first named to this process.
+  TimePoint m_AddedAt;
 };
 
-/// A promise given by this VM.
-struct GivenPromise {
-  uint64_t m_Incarnation = 0;
-  TimePoint m_Until;
+/// A write of one pool's row.
+struct PoolWrite {
+  PoolId m_Pool;
+  LeaseRow m_Row;
 };
 
-/// A promise received by this VM.
-struct ReceivedPromise {
-  TimePoint m_AskedAt;
-  TimePoint m_Until;
+/// A request to the store that has not been answered: a read of one pool's row,
+/// or a transaction.
+struct StoreRequest {
+  std::optional<PoolId> m_Read;
+  std::vector<PoolWrite> m_Writes;
+  TimePoint m_SentAt;
 };
 
 /// A candidate and since when it has been one without a break.
@@ -188,15 +226,12 @@
   Identity m_Self;
   OwnershipPolicy m_Policy;
   std::mt19937_64 m_Random;
-  TimePoint m_StartedAt;
   bool m_Stopping = false;
   bool m_Drained = false;
   std::map<PoolId, PoolLease> m_Pools;
   std::map<std::string, CandidateState> m_Candidates;
   std::map<uint64_t, StoreRequest> m_Requests;
   uint64_t m_LastRequest = 0;
-  std::map<std::string, GivenPromise> m_Given;
-  std::map<std::string, ReceivedPromise> m_Received;
   uint64_t m_PromiseRound = 0;
   TimePoint m_PromiseRoundAt;
   TimePoint m_NextPromises;
@@ -275,10 +310,10 @@
   std::vector<platform::Write> m_Writes;
 };
 
-/// Send a message to a VM, once. For a HandOverOffer the host adds the digest.
+/// Send a message to the VM of this name, once; it may be lost. The host knows
+/// the address from the membership. For a HandOverOffer it adds the digest.
 struct SendMessage {
   std::string m_To;
-  std::string m_PeerAddress;
   Message m_Message;
 };
 
