--- a/libs/entry/src/ControlOwnership.cpp
+++ b/libs/entry/src/ControlOwnership.cpp
@@ -67,7 +67,7 @@
   ownership::Message Message = Action.m_Message;
   if (auto *Offer = std::get_if<ownership::HandOverOffer>(&Message))
     Offer->m_Digest = digestOf(Offer->m_Pool);
-  sendPeer(Action.m_PeerAddress,
+  sendPeer(peerAddressOf(Action.m_To),
            [Wire = toWire(Message)](peer::wire::PeerClient &Peer) {
              Peer.ownership(Wire);
            });
--- a/libs/entry/src/WireOwnership.cpp
+++ b/libs/entry/src/WireOwnership.cpp
@@ -38,6 +38,26 @@
 
 namespace {
 
+std::vector<wire::PoolEpoch>
+writeEpochs(const std::vector<ownership::PoolEpoch> &Epochs) {
+  std::vector<wire::PoolEpoch> Wire;
+  for (const ownership::PoolEpoch &Each : Epochs) {
+    wire::PoolEpoch Epoch;
+    Epoch.pool = toWire(Each.m_Pool);
+    Epoch.epoch = static_cast<int64_t>(Each.m_Epoch);
+    Wire.push_back(std::move(Epoch));
+  }
+  return Wire;
+}
+
+std::vector<ownership::PoolEpoch>
+readEpochs(const std::vector<wire::PoolEpoch> &Wire) {
+  std::vector<ownership::PoolEpoch> Epochs;
+  for (const wire::PoolEpoch &Each : Wire)
+    Epochs.push_back({fromWire(Each.pool), static_cast<uint64_t>(Each.epoch)});
+  return Epochs;
+}
+
 /// Fills in the member of the union for each kind of message.
 struct OwnershipWriter {
   wire::OwnershipMessage &m_Wire;
@@ -47,15 +67,15 @@
     Wire.sender = Message.m_From;
     Wire.incarnation = static_cast<int64_t>(Message.m_Incarnation);
     Wire.round = static_cast<int64_t>(Message.m_Round);
+    Wire.pools = writeEpochs(Message.m_Pools);
     m_Wire.__set_promiseRequest(Wire);
   }
 
   void operator()(const ownership::PromiseAnswer &Message) const {
     wire::PromiseAnswer Wire;
     Wire.sender = Message.m_From;
-    Wire.incarnation = static_cast<int64_t>(Message.m_Incarnation);
     Wire.round = static_cast<int64_t>(Message.m_Round);
-    Wire.granted = Message.m_Granted;
+    Wire.granted = writeEpochs(Message.m_Granted);
     m_Wire.__set_promiseAnswer(Wire);
   }
 
@@ -109,13 +129,13 @@
   if (Message.__isset.promiseRequest) {
     const wire::PromiseRequest &Wire = Message.promiseRequest;
     return ownership::Message(ownership::PromiseRequest{
-        Wire.sender, Unsigned(Wire.incarnation), Unsigned(Wire.round)});
+        Wire.sender, Unsigned(Wire.incarnation), Unsigned(Wire.round),
+        readEpochs(Wire.pools)});
   }
   if (Message.__isset.promiseAnswer) {
     const wire::PromiseAnswer &Wire = Message.promiseAnswer;
-    return ownership::Message(
-        ownership::PromiseAnswer{Wire.sender, Unsigned(Wire.incarnation),
-                                 Unsigned(Wire.round), Wire.granted});
+    return ownership::Message(ownership::PromiseAnswer{
+        Wire.sender, Unsigned(Wire.round), readEpochs(Wire.granted)});
   }
   if (Message.__isset.offer) {
     const wire::HandOverOffer &Wire = Message.offer;
--- a/libs/peer/peer.thrift
+++ b/libs/peer/peer.thrift
@@ -122,17 +122,22 @@
   3: optional list<VmRecord> records,
 }
 
+struct PoolEpoch {
+  1: Pool pool,
+  2: i64 epoch,
+}
+
 struct PromiseRequest {
   1: string sender,
   2: i64 incarnation,
   3: i64 round,
+  4: list<PoolEpoch> pools,
 }
 
 struct PromiseAnswer {
   1: string sender,
-  2: i64 incarnation,
-  3: i64 round,
-  4: bool granted,
+  2: i64 round,
+  3: list<PoolEpoch> granted,
 }
 
 struct HandOverOffer {
