--- a/libs/platform/include/hyssopcross/platform/Wire.h
+++ b/libs/platform/include/hyssopcross/platform/Wire.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 /// The JSON messages of docs/PLATFORM.md. Decoding fails with Protocol and
-/// names what is wrong; it never throws. Encoding replaces bytes that are not
-/// UTF-8.
+/// names what is wrong; it never throws. Encoding, but for writes, replaces
+/// bytes that are not UTF-8.
 namespace hyssopcross::platform {
 
 /// The body of an answer to reading one row.
@@ -22,8 +22,9 @@
 std::string encodeRows(const std::map<std::string, Row> &Rows);
 Result<std::map<std::string, Row>> decodeRows(std::string_view Json);
 
-/// The body of a commit.
-std::string encodeWrites(std::span<const Write> Writes);
+/// The body of a commit. Fails with InvalidInput if a key or value is not
+/// UTF-8.
+Result<std::string> encodeWrites(std::span<const Write> Writes);
 Result<std::vector<Write>> decodeWrites(std::string_view Json);
 
 /// The body of an answer to a commit.
--- a/libs/platform/src/HttpPlatform.cpp
+++ b/libs/platform/src/HttpPlatform.cpp
@@ -107,8 +107,11 @@
   }
 
   Result<CommitResult> commit(std::span<const Write> Writes) override {
-    auto Answer = m_Connection.write("POST", "/table/commit",
-                                     encodeWrites(Writes), "application/json");
+    auto Body = encodeWrites(Writes);
+    if (!Body)
+      return Body.as_failure();
+    auto Answer = m_Connection.write("POST", "/table/commit", Body.value(),
+                                     "application/json");
     if (!Answer)
       return Answer.as_failure();
     auto Read = decodeCommitResult(Answer.value().m_Body);
--- a/libs/platform/src/Wire.cpp
+++ b/libs/platform/src/Wire.cpp
@@ -113,11 +113,16 @@
   });
 }
 
-std::string encodeWrites(std::span<const Write> Writes) {
+Result<std::string> encodeWrites(std::span<const Write> Writes) {
   Json List = Json::array();
   for (const Write &Write : Writes)
     List.push_back(toJson(Write));
-  return write({{"writes", std::move(List)}});
+  try {
+    return Json{{"writes", std::move(List)}}.dump();
+  } catch (const Json::type_error &) {
+    return fail(ErrorCode::InvalidInput,
+                "a key or value of the transaction is not UTF-8");
+  }
 }
 
 Result<std::vector<Write>> decodeWrites(std::string_view Text) {
