Claim money requests before they are sent

Cause: a request that moves money must run at most once, also when writes to the table lose their answers and processes die between any two steps. Change: claims decides from plain events when a claim is written, checked, sent, recorded and withdrawn. Claims and results share grouped transactions; a conflict is resolved row by row. Ruled out: telling 'not-run' before the withdrawal took effect; the key could then be stuck behind a claim whose process died. A quiet call costs 2 row writes.

--- a/libs/claims/include/hyssopcross/claims/Claims.h
+++ b/libs/claims/include/hyssopcross/claims/Claims.h
@@ -2,7 +2,6 @@
 #define HYSSOPCROSS_CLAIMS_CLAIMS_H
 
 #include "hyssopcross/claims/Events.h"
-#include <deque>
 #include <random>
 #include <set>
 
@@ -36,12 +35,17 @@
   Duration m_RetryFor = std::chrono::hours(1);
   /// What callers are told to wait; jittered upwards by half.
   Duration m_RetryAfter = std::chrono::milliseconds(500);
+  /// How long a refused caller waits for the withdrawal of its claim.
+  Duration m_WithdrawWait = std::chrono::milliseconds(250);
   /// How long a claim row is kept after its deadline.
   Duration m_Retention = std::chrono::hours(24);
-  /// Pause between two scans for expired claims, and rows of one scan. One
-  /// transaction of at most GroupRows rows follows each scan.
-  Duration m_SweepPause = std::chrono::milliseconds(500);
+  /// Pause between two scans for expired claims, and rows of one scan.
+  Duration m_SweepPause = std::chrono::milliseconds(200);
   size_t m_SweepRows = 500;
+  /// Expired rows removed by the transaction that follows a scan.
+  size_t m_SweepDeletes = 100;
+  /// Pause after all rows of a service have been scanned.
+  Duration m_SweepCyclePause = std::chrono::minutes(1);
 
   bool m_ClaimBeforeSend = true;
   bool m_NeverTakeOver = true;
@@ -79,33 +83,33 @@
   TimePoint m_SendBy;
   /// The row version that the next write expects.
   uint64_t m_ExpectedVersion = 0;
-  /// A write of this claim may have taken effect, or may still do so.
+  /// A claim write may have taken effect, or may still do so, and the row
+  /// version which that write expected.
   bool m_MayExist = false;
+  uint64_t m_LostVersion = 0;
+  /// The row was read, so an earlier request under the key would be known.
+  bool m_RowRead = false;
+  /// A write of this claim is in the queue.
+  bool m_Queued = false;
   /// A send was allowed and is not proven not to have run.
   bool m_Sent = false;
   /// The send was allowed and has not ended.
   bool m_Sending = false;
   bool m_Answered = false;
+  /// When the caller is answered at the latest.
+  TimePoint m_AnswerBy;
   /// What the caller is told once the withdrawal took effect.
   AnswerKind m_RefusalKind = AnswerKind::Refused;
   Duration m_RefusalRetryAfter{};
   std::optional<RecordedAnswer> m_Result;
   /// Key of the object that holds the result's body; empty if inline.
   std::string m_ObjectKey;
-  /// The request to the store that this claim waits for; zero for none.
-  records::RequestId m_Request = 0;
   /// When a failed request is tried again, and the pause after that.
   std::optional<TimePoint> m_RetryAt;
   Duration m_RetryPause{};
   TimePoint m_GiveUpAt;
 };
 
-/// A write that waits to share a transaction.
-struct QueuedWrite {
-  CallId m_Call = 0;
-  TimePoint m_Due;
-};
-
 /// How far the removal of expired rows of a service has come. Rows carry a
 /// hash of their key, and the cursor walks its prefixes.
 struct SweepState {
@@ -114,6 +118,8 @@
   records::RequestId m_Request = 0;
   /// Objects to remove when the transaction in flight has removed their rows.
   std::vector<std::string> m_Objects;
+  /// The scan found more expired rows than one transaction removes.
+  bool m_Again = false;
 };
 
 /// Figures for metrics, counted since the start.
@@ -143,7 +149,13 @@
   std::map<CallId, Claim> m_Claims;
   /// The claim that is alive for a row key; at most one.
   std::map<std::string, CallId, std::less<>> m_ByRow;
-  std::deque<QueuedWrite> m_Queue;
+  /// The claims whose writes wait to share a transaction, by the instant at
+  /// which they are due.
+  std::multimap<TimePoint, CallId> m_Queue;
+  /// When to look at a claim again; entries of claims that have moved on are
+  /// ignored.
+  std::set<std::pair<TimePoint, CallId>> m_Timers;
+  std::optional<TimePoint> m_WakeAt;
   /// The claims that wait for a request to the store.
   std::map<records::RequestId, std::vector<CallId>> m_Waiting;
   size_t m_CommitsInFlight = 0;
--- /dev/null
+++ b/libs/claims/tests/ClaimsTest.cpp
@@ -0,0 +1,203 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "MoneyWorld.h"
+#include <doctest/doctest.h>
+
+using namespace hyssopcross;
+using namespace hyssopcross::claims;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One process against a store whose answers the test gives by hand.
+struct Bench {
+  ClaimState m_State{"vm1", {}, 1};
+  records::Instant m_Now{TimePoint(1h), WallTime(24h)};
+  std::vector<Action> m_Actions;
+
+  void feed(const Event &Event) {
+    m_Actions.clear();
+    step(m_State, Event, m_Now, m_Actions);
+  }
+  void arrive(CallId Call, std::string Key, std::string Digest = "d1",
+              bool Repeat = false) {
+    feed(MoneyArrived{Call, "caja", std::move(Key), std::move(Digest),
+                      m_Now.m_Wall + 1s, Repeat});
+  }
+  void wait(Duration Span) {
+    m_Now.m_Now += Span;
+    m_Now.m_Wall += Span;
+    feed(Woke{});
+  }
+  template <typename Kind> const Kind *find() const {
+    for (const Action &Each : m_Actions)
+      if (auto *Found = std::get_if<Kind>(&Each))
+        return Found;
+    return nullptr;
+  }
+  template <typename Kind> size_t count() const {
+    size_t Count = 0;
+    for (const Action &Each : m_Actions)
+      Count += std::holds_alternative<Kind>(Each) ? 1 : 0;
+    return Count;
+  }
+  std::optional<AnswerKind> said() const {
+    auto *Found = find<Answer>();
+    return Found ? std::optional(Found->m_Kind) : std::nullopt;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a lost claim write ends as the store shows and the caller asked") {
+  struct Row {
+    const char *m_Name;
+    bool m_Repeat;
+    records::CommitEnd m_End;
+    std::optional<AnswerKind> m_Said;
+  };
+  const Row Rows[] = {
+      {"store down", false, records::CommitEnd::Unavailable,
+       AnswerKind::StoreDown},
+      {"store down, repeat", true, records::CommitEnd::Unavailable,
+       AnswerKind::Unresolved},
+      {"lost", false, records::CommitEnd::Unknown, std::nullopt},
+      {"conflict", false, records::CommitEnd::Conflict, std::nullopt},
+  };
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.m_Name);
+    Bench On;
+    On.arrive(1, "k1", "d1", Case.m_Repeat);
+    On.wait(2ms);
+    REQUIRE(On.find<records::CommitRows>());
+    On.feed(records::CommitEnded{On.find<records::CommitRows>()->m_Request,
+                                 Case.m_End});
+    CHECK(On.said() == Case.m_Said);
+    CHECK((On.find<records::ReadRow>() != nullptr) == !Case.m_Said);
+  }
+}
+
+TEST_CASE("a refused arrival is told why, and when to come back") {
+  struct Row {
+    const char *m_Key;
+    Duration m_Left;
+    AnswerKind m_Said;
+    bool m_RetryAfter;
+  };
+  const std::string Long(201, 'k');
+  const Row Rows[] = {
+      {"", 1s, AnswerKind::NoKey, false},
+      {"with space", 1s, AnswerKind::NoKey, false},
+      {Long.c_str(), 1s, AnswerKind::NoKey, false},
+      {"k1", 0s, AnswerKind::DeadlinePassed, true},
+  };
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.m_Key);
+    Bench On;
+    On.feed(MoneyArrived{1, "caja", Case.m_Key, "d1",
+                         On.m_Now.m_Wall + Case.m_Left, false});
+    CHECK(On.said() == Case.m_Said);
+    CHECK((On.find<Answer>()->m_RetryAfter > 0s) == Case.m_RetryAfter);
+    CHECK(On.m_State.m_Claims.empty());
+  }
+}
+
+TEST_CASE("one bad claim does not fail the others of its transaction") {
+  Bench On;
+  for (CallId Call = 1; Call <= 3; ++Call)
+    On.arrive(Call, "k" + std::to_string(Call));
+  On.wait(2ms);
+  REQUIRE(On.count<records::CommitRows>() == 1);
+  REQUIRE(On.find<records::CommitRows>()->m_Writes.size() == 3);
+  On.feed(records::CommitEnded{On.find<records::CommitRows>()->m_Request,
+                               records::CommitEnd::Conflict});
+  REQUIRE(On.count<records::ReadRow>() == 3);
+  std::vector<records::RequestId> Reads;
+  for (const Action &Each : On.m_Actions)
+    if (auto *Read = std::get_if<records::ReadRow>(&Each))
+      Reads.push_back(Read->m_Request);
+  On.feed(records::RowRead{
+      Reads[0], true,
+      platform::Row{R"({"digest":"d1","attempt":"vm2.1","deadline_us":1,)"
+                    R"("state":"claimed"})",
+                    7}});
+  CHECK(On.said() == AnswerKind::InProgress);
+  On.feed(records::RowRead{Reads[1], true, {}});
+  On.feed(records::RowRead{Reads[2], true, {}});
+  On.wait(1ms);
+  size_t Again = On.m_State.m_Counters.m_RowWrites;
+  CHECK(Again == 5);
+}
+
+TEST_CASE("a send is allowed once, and not when the window has closed") {
+  struct Row {
+    const char *m_Name;
+    Duration m_Wait;
+    bool m_Allowed;
+  };
+  const Row Rows[] = {{"in time", 10ms, true}, {"too late", 996ms, false}};
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.m_Name);
+    Bench On;
+    On.arrive(1, "k1");
+    On.wait(2ms);
+    On.feed(records::CommitEnded{On.find<records::CommitRows>()->m_Request,
+                                 records::CommitEnd::Committed});
+    REQUIRE(On.find<StartCall>());
+    On.m_Now.m_Now += Case.m_Wait;
+    On.m_Now.m_Wall += Case.m_Wait;
+    On.feed(SendAsked{1});
+    CHECK((On.find<AllowSend>() != nullptr) == Case.m_Allowed);
+    On.feed(SendAsked{1});
+    CHECK(On.find<DenySend>());
+  }
+}
+
+TEST_CASE("expired rows go, in bounded scans and transactions") {
+  using namespace hyssopcross::claims::testing;
+  records::testing::Agenda Time(1);
+  records::testing::FakeStore Store(Time);
+  ClaimPolicy Policy;
+  Policy.m_SweepRows = 20;
+  Policy.m_SweepDeletes = 10;
+  ClaimState State("vm1", Policy, 1);
+  auto Value = [](int64_t DeadlineUs) {
+    return R"({"digest":"d","attempt":"a","state":"claimed","deadline_us":)" +
+           std::to_string(DeadlineUs) + "}";
+  };
+  for (int I = 0; I < 300; ++I) {
+    // Every third row is far from its end.
+    int64_t Deadline = I % 3 == 0 ? 86400000000LL * 3 : 0;
+    Store.apply(
+        {{rowKey("caja", "k" + std::to_string(I)), 0, Value(Deadline)}});
+  }
+  size_t Largest = 0;
+  std::function<void(const Event &)> Feed = [&](const Event &Event) {
+    std::vector<Action> Actions;
+    step(State, Event, Time.now(), Actions);
+    for (const Action &Each : Actions) {
+      if (auto *Scan = std::get_if<records::ScanRows>(&Each))
+        Store.perform(*Scan, Feed);
+      if (auto *Commit = std::get_if<records::CommitRows>(&Each)) {
+        Largest = std::max(Largest, Commit->m_Writes.size());
+        Store.perform(*Commit, Feed);
+      }
+      if (auto *Wake = std::get_if<WakeAt>(&Each))
+        Time.in(Wake->m_Time - Time.now().m_Now, [&] { Feed(Woke{}); });
+    }
+  };
+  Time.run(2h);
+  Feed(SweeperChanged{"caja", true});
+  Time.run(60s);
+  CHECK(Store.m_Rows.size() == 100);
+  CHECK(Largest == 10);
+}
+
+TEST_CASE("a quiet money call costs two row writes and one read") {
+  testing::MoneyWorld World(1, testing::NoFaults, {});
+  CHECK(World.run() == "");
+  MESSAGE("executions=" << World.m_Executions
+                        << " row_writes=" << World.m_Store.m_RowWrites
+                        << " transactions=" << World.m_Store.m_Commits
+                        << " reads=" << World.m_Store.m_Reads);
+  CHECK(World.m_Store.m_RowWrites == 2 * World.m_Executions);
+}
