Read, change and follow the catalogue

Cause: an accepted change must hold everywhere within seconds and never revert, with lost commits, racing operators, cut-off VMs and a slow store. Change: YAML and JSON with errors by entry and field, diff and rebase; the editor commits version, head and change row in one transaction; the follower polls, is told, fetches, and stops new work when unconfirmed. Ruled out: confirming a version at the arrival of the head row's answer; with a slow store that answer is old, so the time of the question counts.

--- a/libs/catalogue/include/hyssopcross/catalogue/Editor.h
+++ b/libs/catalogue/include/hyssopcross/catalogue/Editor.h
@@ -90,8 +90,6 @@
   uint32_t m_MaxRounds = 20;
   /// Pause before a request to the store that failed is tried again.
   Duration m_RetryPause = std::chrono::milliseconds(100);
-  /// Version rows kept; older ones are removed as new ones come.
-  uint64_t m_KeepVersions = 5000;
 
   bool m_ReadBackLostCommits = true;
   bool m_CheckHeadVersion = true;
@@ -101,6 +99,7 @@
 /// What the editor waits for.
 enum class EditorPhase {
   ReadingChange,
+  ReadingAccepted,
   ReadingHead,
   ReadingCurrent,
   ReadingBase,
@@ -121,11 +120,17 @@
   uint32_t m_Round = 0;
   /// A commit may have taken effect, or may still do so.
   bool m_MayExist = false;
-  /// The versions of the head row that commits of unknown end expected.
+  /// The version of the head row that such a commit expected. While the head
+  /// row keeps it, the commit may still take effect.
   uint64_t m_UnresolvedHead = 0;
+  /// The version that the change row named.
+  uint64_t m_AcceptedVersion = 0;
   uint64_t m_HeadRowVersion = 0;
   std::optional<VersionRecord> m_Current;
+  uint64_t m_HeadVersion = 0;
+  /// What the operator saw, and what they want instead.
   std::optional<Catalogue> m_Base;
+  std::optional<Catalogue> m_Proposed;
   std::optional<VersionRecord> m_Next;
 };
 
--- a/libs/catalogue/include/hyssopcross/catalogue/Follower.h
+++ b/libs/catalogue/include/hyssopcross/catalogue/Follower.h
@@ -135,6 +135,8 @@
   records::RequestId m_Read = 0;
   bool m_ReadingHead = false;
   uint64_t m_ReadingVersion = 0;
+  /// When the last read of the head row was asked for.
+  TimePoint m_HeadReadAt;
   TimePoint m_ReadUntil;
   /// The outstanding fetch from a peer; no name if none.
   VmName m_FetchPeer;
--- a/libs/catalogue/include/hyssopcross/catalogue/InForce.h
+++ b/libs/catalogue/include/hyssopcross/catalogue/InForce.h
@@ -33,6 +33,9 @@
 /// Sets the live entry VMs; forgets the others.
 void setLive(InForceState &State, std::set<std::string> Live);
 
+/// A VM has restarted: it may have a lower version than before.
+void forgetVm(InForceState &State, const std::string &Vm);
+
 /// Learns a VM's version, from itself or passed on. A lower version than known
 /// is ignored: versions only rise on a VM.
 void observe(InForceState &State, const VmVersion &Seen, TimePoint Now);
