--- a/libs/catalogue/include/hyssopcross/catalogue/Editor.h
+++ b/libs/catalogue/include/hyssopcross/catalogue/Editor.h
@@ -151,6 +151,9 @@
                   const records::Instant &Now);
 EditorAction editorWoke(EditorState &State, const records::Instant &Now);
 
+/// Ends a change between two requests, because the time for it is up.
+ChangeResult stopEditor(EditorState &State);
+
 } // namespace hyssopcross::catalogue
 
 #endif
--- a/libs/catalogue/src/Editor.cpp
+++ b/libs/catalogue/src/Editor.cpp
@@ -19,7 +19,7 @@
 
 /// Ends the change. While a commit may still take effect, nothing can be
 /// promised.
-EditorAction finish(EditorState &State, ChangeEnd End, std::string Message) {
+ChangeResult finish(EditorState &State, ChangeEnd End, std::string Message) {
   State.m_Phase = EditorPhase::Done;
   if (State.m_MayExist && End != ChangeEnd::Accepted) {
     End = ChangeEnd::Unknown;
@@ -54,6 +54,9 @@
   Catalogue Proposed = Base;
   if (auto *Replace = std::get_if<ReplaceDocument>(&Edit))
     return Replace->m_Proposed;
+  if (Base.m_Version == 0)
+    return fail(ErrorCode::NotFound,
+                "there is no catalogue yet; apply the first one");
   if (auto *Set = std::get_if<SetDataCentre>(&Edit)) {
     auto Found = Proposed.m_DataCentres.find(Set->m_Name);
     if (Found == Proposed.m_DataCentres.end())
@@ -267,4 +270,9 @@
   return readChange(State);
 }
 
+ChangeResult stopEditor(EditorState &State) {
+  return finish(State, ChangeEnd::NotAccepted,
+                "the store did not answer in time");
+}
+
 } // namespace hyssopcross::catalogue
