--- a/libs/entry/include/hyssopcross/entry/Control.h
+++ b/libs/entry/include/hyssopcross/entry/Control.h
@@ -114,6 +114,7 @@
   void carryOut(const membership::IncarnationRaised &Action);
   void carryOut(const membership::WakeAt &Action);
   void fetchVmList();
+  void updateLive();
   void heard(const HeartbeatBundle &Bundle);
 
   void stepOwnership(const ownership::Event &Event);
@@ -158,6 +159,7 @@
   addresses::OwnerTable m_Owners;
   std::vector<platform::VmRecord> m_Records;
   std::vector<platform::VmRecord> m_WholeList;
+  TimePoint m_WholeListAt;
   std::map<balancing::PoolId, std::vector<balancing::ServerDigest>> m_Digests;
   TimePoint m_ChangedAt;
   bool m_PublishDue = false;
--- a/libs/entry/include/hyssopcross/entry/Node.h
+++ b/libs/entry/include/hyssopcross/entry/Node.h
@@ -2,7 +2,7 @@
 #define HYSSOPCROSS_ENTRY_NODE_H
 
 #include "hyssopcross/entry/CallerFront.h"
-#include "hyssopcross/entry/Metrics.h"
+#include "hyssopcross/entry/OperatorFront.h"
 #include "hyssopcross/entry/PeerHandler.h"
 #include "hyssopcross/peer/PeerServer.h"
 
@@ -57,8 +57,6 @@
 private:
   struct Parts;
 
-  web::HttpAnswer answerAdmin(const web::HttpRequest &Request);
-
   NodeSettings m_Settings;
   SystemClock m_Clock;
   std::unique_ptr<Parts> m_Parts;
--- a/libs/entry/include/hyssopcross/entry/PoolHost.h
+++ b/libs/entry/include/hyssopcross/entry/PoolHost.h
@@ -95,6 +95,9 @@
   /// Applies an event that does not come from a call.
   void apply(const balancing::Event &Event);
 
+  /// The pool's figures at this instant.
+  balancing::PoolFigures figures();
+
   /// What the pool looks like now, for metrics and for digests.
   template <typename Function> auto inspect(Function Look) {
     std::lock_guard Lock(m_Mutex);
--- a/libs/entry/src/ControlMembership.cpp
+++ b/libs/entry/src/ControlMembership.cpp
@@ -12,6 +12,9 @@
 /// Catalogue versions of other VMs passed on in a heartbeat.
 constexpr size_t VersionsInHeartbeat = 4;
 
+/// How long the platform's list counts for VMs that were not heard.
+constexpr Duration ListFreshness = std::chrono::seconds(30);
+
 } // namespace
 
 void Control::stepMembership(const membership::Event &Event) {
@@ -47,6 +50,8 @@
     }
     post([this, Records = std::move(Fetched.value())] {
       m_WholeList = Records;
+      m_WholeListAt = m_Parts.m_Clock.now();
+      updateLive();
       stepMembership(membership::VmListFetched{Records});
       updatePoolIds();
       updateServers();
@@ -81,15 +86,31 @@
 void Control::carryOut(const membership::ViewChanged &) {
   m_ChangedAt = m_Parts.m_Clock.now();
   m_PublishDue = true;
+  updateLive();
+  stepFollower(catalogue::NeighboursChanged{m_Membership.m_Neighbours});
+  stepFollower(catalogue::PollerChanged{membership::isPoller(m_Membership)});
+  updateCandidates();
+}
+
+void Control::updateLive() {
+  TimePoint Now = m_Parts.m_Clock.now();
   std::set<std::string> Live;
+  std::set<std::string> Known;
   for (const membership::MemberView &Each :
-       membership::view(m_Membership, m_ChangedAt).m_Members)
+       membership::view(m_Membership, Now).m_Members) {
+    Known.insert(Each.m_Info.m_Name);
     if (Each.m_Status == membership::VmStatus::Alive)
       Live.insert(Each.m_Info.m_Name);
+  }
+  // A VM that the platform lists and that was not heard yet may still take
+  // part; without it, a version would count as in force too early.
+  if (Now - m_WholeListAt < ListFreshness)
+    for (const platform::VmRecord &Each : m_WholeList)
+      if (Each.m_Role == platform::VmRole::Entry &&
+          Each.m_State == platform::VmState::Live &&
+          !Known.contains(Each.m_Name))
+        Live.insert(Each.m_Name);
   catalogue::setLive(m_InForce, std::move(Live));
-  stepFollower(catalogue::NeighboursChanged{m_Membership.m_Neighbours});
-  stepFollower(catalogue::PollerChanged{membership::isPoller(m_Membership)});
-  updateCandidates();
 }
 
 void Control::carryOut(const membership::IncarnationRaised &Action) {
--- a/libs/entry/src/Node.cpp
+++ b/libs/entry/src/Node.cpp
@@ -64,7 +64,9 @@
                  Settings.m_Seed, Time, m_Store, *m_Timers),
         m_Router({Time, m_Control, m_Pools, m_Claims, m_Peers, m_Tracer}),
         m_Front(Time, m_Control, m_Router, m_Tracer, m_Metrics, Settings.m_Name,
-                Settings.m_Seed) {}
+                Settings.m_Seed),
+        m_OperatorFront(Time, *m_Table, m_Control, m_Pools, m_Claims,
+                        m_Metrics) {}
 
   /// Ends the threads before anything that they use.
   ~Parts() {
@@ -105,6 +107,7 @@
   ClaimsHost m_Claims;
   Router m_Router;
   CallerFront m_Front;
+  OperatorFront m_OperatorFront;
   std::unique_ptr<peer::PeerServer> m_PeerServer;
   std::unique_ptr<web::HttpServer> m_Operators;
   std::unique_ptr<web::HttpServer> m_Callers;
@@ -123,10 +126,12 @@
   if (!Peers)
     return fail(Peers.error().m_Code, Peers.error().m_Message);
   m_Parts->m_PeerServer = std::move(Peers.value());
-  auto Operators = web::HttpServer::start(
-      m_Settings.m_AdminListen,
-      [this](const web::HttpRequest &Request) { return answerAdmin(Request); },
-      {});
+  auto Operators =
+      web::HttpServer::start(m_Settings.m_AdminListen,
+                             [this](const web::HttpRequest &Request) {
+                               return m_Parts->m_OperatorFront.handle(Request);
+                             },
+                             {});
   if (!Operators)
     return fail(Operators.error().m_Code, Operators.error().m_Message);
   m_Parts->m_Operators = std::move(Operators.value());
@@ -167,15 +172,4 @@
             {"open_claims", m_Parts->m_Claims.open()}});
 }
 
-web::HttpAnswer Node::answerAdmin(const web::HttpRequest &Request) {
-  web::HttpAnswer Answer;
-  if (Request.path() == "/metrics") {
-    Answer.m_Headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
-    Answer.m_Body = m_Parts->m_Metrics.serialize();
-    return Answer;
-  }
-  Answer.m_Status = 404;
-  return Answer;
-}
-
 } // namespace hyssopcross::entry
--- a/libs/entry/src/PoolHost.cpp
+++ b/libs/entry/src/PoolHost.cpp
@@ -63,6 +63,11 @@
   stepLocked(Event);
 }
 
+PoolFigures PoolHost::figures() {
+  std::lock_guard Lock(m_Mutex);
+  return balancing::figures(m_State, m_Clock.now());
+}
+
 void PoolHost::stepLocked(const Event &Event) {
   m_Pending.push_back(Event);
   if (m_Stepping)
--- a/libs/web/src/HttpServer.cpp
+++ b/libs/web/src/HttpServer.cpp
@@ -24,9 +24,7 @@
 
 void copyHeaders(const _u_map *Map, HttpRequest &Request) {
   for (int I = 0; I < Map->nb_values; ++I)
-    Request.m_Headers.emplace_back(
-        Map->keys[I],
-        std::string_view(Map->values[I], static_cast<size_t>(Map->lengths[I])));
+    Request.m_Headers.emplace_back(Map->keys[I], Map->values[I]);
 }
 
 HttpRequest readRequest(const _u_request &From) {
