Leave other data centres' pools to their VMs, and name refusals in logs

Cause: the first VM to start knew no other and took the pools of all data centres, so most calls were refused for want of an owner. Ruled out: the election itself; its candidates were incomplete.

--- a/libs/entry/include/hyssopcross/entry/Call.h
+++ b/libs/entry/include/hyssopcross/entry/Call.h
@@ -42,6 +42,8 @@
 struct CallerAnswer {
   protocol::Outcome m_Outcome = protocol::Outcome::NotRun;
   unsigned m_Status = 500;
+  /// Stable code of an answer that the system itself gives; else empty.
+  std::string m_Code;
   HeaderList m_Headers;
   std::string m_Body;
 };
--- a/libs/entry/include/hyssopcross/entry/Control.h
+++ b/libs/entry/include/hyssopcross/entry/Control.h
@@ -129,6 +129,7 @@
   void carryOut(const ownership::WakeAt &Action);
   void updateCandidates();
   void updatePoolIds();
+  std::set<std::string> staffedDataCentres() const;
   void updateServers();
   void sendDigests();
   void learn(const addresses::OwnerEntry &Entry);
@@ -162,6 +163,7 @@
   TimePoint m_WholeListAt;
   std::map<balancing::PoolId, std::vector<balancing::ServerDigest>> m_Digests;
   TimePoint m_ChangedAt;
+  TimePoint m_StartedAt;
   bool m_PublishDue = false;
 
   mutable std::mutex m_OwnershipMutex;
--- a/libs/entry/src/CallAnswer.cpp
+++ b/libs/entry/src/CallAnswer.cpp
@@ -36,6 +36,7 @@
   CallerAnswer Answer;
   Answer.m_Outcome = Result;
   Answer.m_Status = Status;
+  Answer.m_Code = Code;
   Answer.m_Headers.emplace_back("Content-Type", "application/json");
   Answer.m_Body = nlohmann::json{{"code", Code}, {"message", Message}}.dump(
       -1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/libs/entry/src/CallerFront.cpp
+++ b/libs/entry/src/CallerFront.cpp
@@ -121,7 +121,8 @@
              {{"request_id", CorrelationId},
               {"service", Incoming.m_Service},
               {"outcome", protocol::outcomeName(Answer.m_Outcome)},
-              {"status", Answer.m_Status}});
+              {"status", Answer.m_Status},
+              {"code", Answer.m_Code}});
   return Answer;
 }
 
--- a/libs/entry/src/Control.cpp
+++ b/libs/entry/src/Control.cpp
@@ -26,7 +26,7 @@
       m_Membership(m_Settings.m_Self, m_Settings.m_Membership,
                    Parts.m_Clock.now()),
       m_Follower(m_Settings.m_Follower, m_Settings.m_Seed),
-      m_ChangedAt(Parts.m_Clock.now()),
+      m_ChangedAt(Parts.m_Clock.now()), m_StartedAt(Parts.m_Clock.now()),
       m_Ownership(identity(m_Settings.m_Self), m_Settings.m_Ownership,
                   Parts.m_Clock.now(), m_Settings.m_Seed + 1),
       m_Published(std::make_shared<addresses::RoutingView>()),
--- a/libs/entry/src/ControlOwnership.cpp
+++ b/libs/entry/src/ControlOwnership.cpp
@@ -11,6 +11,9 @@
 /// Pause between two digests of a pool to its successor.
 constexpr Duration DigestPause = std::chrono::seconds(2);
 
+/// Time after the start before a VM takes pools of other data centres.
+constexpr Duration ForeignPoolWait = std::chrono::seconds(30);
+
 /// How long slots count as taken after a planned hand-over.
 constexpr Duration HandOverInFlight = std::chrono::milliseconds(300);
 
@@ -163,13 +166,27 @@
   updatePoolIds();
 }
 
+std::set<std::string> Control::staffedDataCentres() const {
+  std::set<std::string> Staffed{m_Settings.m_Self.m_DataCentre};
+  TimePoint Now = m_Parts.m_Clock.now();
+  for (const membership::MemberView &Each :
+       membership::view(m_Membership, Now).m_Members)
+    if (Each.m_Status == membership::VmStatus::Alive ||
+        Each.m_Status == membership::VmStatus::Suspect)
+      Staffed.insert(Each.m_Info.m_DataCentre);
+  // A listed VM that was not heard yet counts until it had time to be heard.
+  if (Now - m_StartedAt < ForeignPoolWait)
+    for (const platform::VmRecord &Each : m_WholeList)
+      if (Each.m_Role == platform::VmRole::Entry)
+        Staffed.insert(Each.m_DataCentre);
+  return Staffed;
+}
+
 void Control::updatePoolIds() {
   if (!m_Follower.m_Current)
     return;
   const catalogue::Catalogue &Current = *m_Follower.m_Current;
-  std::set<std::string> Staffed{m_Settings.m_Self.m_DataCentre};
-  for (const auto &[Name, Each] : m_Ownership.m_Candidates)
-    Staffed.insert(Each.m_Candidate.m_DataCentre);
+  std::set<std::string> Staffed = staffedDataCentres();
   std::set<PoolId> Wanted;
   for (const platform::VmRecord &Each : m_Records)
     if (Each.m_Role == platform::VmRole::Backend &&
--- a/libs/entry/src/WireCalls.cpp
+++ b/libs/entry/src/WireCalls.cpp
@@ -73,6 +73,7 @@
   wire::ForwardedAnswer Wire;
   Wire.outcome = protocol::outcomeName(Answer.m_Outcome);
   Wire.status = static_cast<int32_t>(Answer.m_Status);
+  Wire.code = Answer.m_Code;
   Wire.headers = toWire(Answer.m_Headers);
   Wire.body = std::move(Answer.m_Body);
   return Wire;
@@ -85,6 +86,7 @@
   CallerAnswer Answer;
   Answer.m_Outcome = Outcome.value();
   Answer.m_Status = static_cast<unsigned>(Message.status);
+  Answer.m_Code = Message.code;
   Answer.m_Headers = fromWire(Message.headers);
   Answer.m_Body = std::move(Message.body);
   return Answer;
--- a/libs/peer/peer.thrift
+++ b/libs/peer/peer.thrift
@@ -39,6 +39,8 @@
   2: i32 status,
   3: list<Header> headers,
   4: binary body,
+  // Stable code of an answer that the system itself gives.
+  5: string code,
 }
 
 // An entry VM as it describes itself.
