--- a/libs/httpclient/tests/ClientTest.cpp
+++ b/libs/httpclient/tests/ClientTest.cpp
@@ -129,6 +129,7 @@
   std::atomic<int> Matching{0};
   {
     std::vector<std::jthread> Threads;
+    Threads.reserve(8);
     for (int T = 0; T < 8; ++T)
       Threads.emplace_back([&, T] {
         for (int I = 0; I < 20; ++I) {
--- a/libs/load/src/AddedLatency.cpp
+++ b/libs/load/src/AddedLatency.cpp
@@ -39,13 +39,14 @@
   // One handle, so that each way keeps its one connection.
   httpclient::Client Client(1);
   std::string Path(standins::MeasurePath);
+  std::string CallPath = "/call/" + Options.m_Service + Path;
   std::string Direct = "http://" + Options.m_Direct.toString() + Path;
   AddedLatency Measured;
   for (uint32_t I = 0; I < WarmUpPairs + Options.m_Pairs; ++I) {
     BOOST_OUTCOME_TRY(
         Entry, Addresses.choose(Options.m_Service, Options.m_DataCentre, ""));
-    std::string ThroughEntry =
-        "http://" + Entry + "/call/" + Options.m_Service + Path;
+    std::string ThroughEntry = "http://" + Entry;
+    ThroughEntry += CallPath;
     BOOST_OUTCOME_TRY(DirectTime, timeCall(Direct, I, Client, Clock));
     BOOST_OUTCOME_TRY(EntryTime, timeCall(ThroughEntry, I, Client, Clock));
     if (I < WarmUpPairs)
--- a/libs/load/src/Plan.cpp
+++ b/libs/load/src/Plan.cpp
@@ -60,7 +60,8 @@
   std::uniform_int_distribution<uint64_t> Number(1, MaxNumber);
   std::uniform_int_distribution<uint64_t> BodyBytes(1, Options.m_UploadBytes);
   double Length = std::chrono::duration<double>(Options.m_Length).count();
-  for (double Due = Gap(Random); Due < Length; Due += Gap(Random)) {
+  double Due = Gap(Random);
+  while (Due < Length) {
     PlannedCall Call;
     Call.m_Due = std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(Due));
@@ -69,6 +70,7 @@
     Call.m_Number = Number(Random);
     Call.m_BodyBytes = BodyBytes(Random);
     Calls.push_back(std::move(Call));
+    Due += Gap(Random);
   }
 }
 
--- a/libs/load/tests/CallerTest.cpp
+++ b/libs/load/tests/CallerTest.cpp
@@ -224,7 +224,7 @@
   const std::string Digest = protocol::contentDigest(Body);
   struct Row {
     const char *m_What;
-    int m_Status;
+    long m_Status;
     std::string m_Correlation;
     std::string m_Digest;
     std::string m_Body;
@@ -243,7 +243,7 @@
   for (const Row &Case : Rows) {
     CAPTURE(Case.m_What);
     httpclient::Response Answer;
-    Answer.m_Status = Case.m_Status;
+    Answer.m_Status = static_cast<int>(Case.m_Status);
     Answer.m_Headers["hyssopcross-correlation-id"] = Case.m_Correlation;
     Answer.m_Headers["content-digest"] = Case.m_Digest;
     Answer.m_Body = Case.m_Body;
--- a/libs/load/tests/ComparisonTest.cpp
+++ b/libs/load/tests/ComparisonTest.cpp
@@ -58,9 +58,9 @@
     std::vector<AttemptRecord> m_Attempts;
     std::vector<LedgerEntry> m_Ledger;
     CallOutcome m_Outcome;
-    uint64_t m_Mismatched;
-    uint64_t m_Duplicates;
-    uint64_t m_Lost;
+    uint32_t m_Mismatched;
+    uint32_t m_Duplicates;
+    uint32_t m_Lost;
   };
   constexpr auto Lookup = ServiceClass::Lookup;
   constexpr auto Money = ServiceClass::Money;
--- a/libs/standins/tests/BackendServerTest.cpp
+++ b/libs/standins/tests/BackendServerTest.cpp
@@ -66,7 +66,7 @@
     ServiceClass m_Class;
     const char *m_Body;
     std::vector<Header> m_Headers;
-    int m_Status;
+    long m_Status;
   };
   const std::string Matching = protocol::contentDigest("{\"amount\":5}");
   const std::string Other = protocol::contentDigest("other");
