Check the load tool's flags in its library; callers fall back to a failed address

A caller whose only named addresses had all failed gave up at once, although one of them may be back: it now tries the one named first.

--- a/libs/load/include/hyssopcross/load/AddressBook.h
+++ b/libs/load/include/hyssopcross/load/AddressBook.h
@@ -28,8 +28,8 @@
 
   /// The address to use for a service by a caller in a data centre: the first
   /// of the answer that has not failed lately and is not Avoid. Asks an entry
-  /// VM if no answer is kept. Fails with Unavailable if none answers or no
-  /// address is left.
+  /// VM if no answer is kept, and falls back to an address that has failed if
+  /// no other is named. Fails with Unavailable if none answers with an address.
   Result<std::string> choose(const std::string &Service,
                              const std::string &DataCentre,
                              std::string_view Avoid);
--- a/libs/load/src/AddressBook.cpp
+++ b/libs/load/src/AddressBook.cpp
@@ -8,7 +8,7 @@
 
 constexpr int Ok = 200;
 constexpr Duration AskTimeout = std::chrono::milliseconds(500);
-constexpr Duration SuspectTime = std::chrono::seconds(1);
+constexpr Duration SuspectTime = std::chrono::seconds(3);
 
 } // namespace
 
@@ -96,6 +96,7 @@
       return Found;
   }
   std::string Why = "no entry VM is named";
+  std::string Suspect;
   for (const std::string &Entry : shuffledEntries()) {
     auto Answer = ask(Entry, Key);
     if (!Answer) {
@@ -103,14 +104,18 @@
       continue;
     }
     TimePoint Now = m_Clock.now();
+    std::vector<std::string> &Named = Answer.value().m_Addresses;
+    if (!Named.empty())
+      Suspect = Named.front() == Avoid ? Named.back() : Named.front();
     std::lock_guard Lock(m_Mutex);
-    m_Kept[Key] = {std::move(Answer.value().m_Addresses),
-                   Now + Answer.value().m_TimeToLive};
+    m_Kept[Key] = {std::move(Named), Now + Answer.value().m_TimeToLive};
     std::string Found = findLocked(Key, Avoid, Now);
     if (!Found.empty())
       return Found;
-    Why = "no usable address for " + Service;
+    Why = "no address is named for " + Service;
   }
+  if (!Suspect.empty())
+    return Suspect;
   return fail(ErrorCode::Unavailable, std::move(Why));
 }
 
--- a/libs/load/src/Caller.cpp
+++ b/libs/load/src/Caller.cpp
@@ -13,6 +13,8 @@
 /// How much longer than the system a caller waits, so that the system's own
 /// answer at the deadline still arrives.
 constexpr Duration Grace = std::chrono::milliseconds(500);
+/// How long a caller that has no address waits before it asks again.
+constexpr Duration NoAddressPause = std::chrono::milliseconds(100);
 constexpr Duration LongestPause = std::chrono::seconds(1);
 constexpr size_t MaxNotSent = 4;
 constexpr size_t MaxLookupAttempts = 2;
@@ -87,8 +89,10 @@
                             std::to_string(Call.m_Index) + "-" +
                             std::to_string(Number);
   auto Chosen = m_Addresses.choose(Service, Call.m_DataCentre, Address);
-  if (!Chosen)
+  if (!Chosen) {
+    RetryAfter = NoAddressPause;
     return {std::move(Correlation), Told::NotSent, "", ""};
+  }
   Address = Chosen.value();
   auto Answer = m_Client.send(
       buildHttp(Call, Request, Correlation, Address, m_Options.m_Timeout));
--- a/libs/load/tests/CallerTest.cpp
+++ b/libs/load/tests/CallerTest.cpp
@@ -216,6 +216,15 @@
   CHECK(callOutcome(Record) == CallOutcome::NotRun);
 }
 
+TEST_CASE("an address that failed is used again if no other is named") {
+  Fixture Under({Step::Lose, Step::Complete}, {Step::Complete});
+  Under.m_First.m_Named = Under.m_Second.m_Named =
+      nameAddresses({Under.m_First.address()});
+  CallRecord Record = Under.m_Caller.run(makeCall(ServiceClass::Lookup));
+  CHECK(callOutcome(Record) == CallOutcome::Completed);
+  CHECK(Under.m_First.m_Calls == 2);
+}
+
 TEST_CASE("answers that are not the request's own have a flaw") {
   PlannedCall Call = makeCall(ServiceClass::Upload);
   CallRequest Request = buildRequest(Call, "run");
--- a/tools/load/Main.cpp
+++ b/tools/load/Main.cpp
@@ -1,6 +1,6 @@
-#include "hyssopcross/load/AddedLatency.h"
 #include "hyssopcross/load/Report.h"
 #include "hyssopcross/load/Run.h"
+#include "hyssopcross/load/RunSettings.h"
 #include <boost/outcome/try.hpp>
 #include <cstdio>
 #include <gflags/gflags.h>
@@ -34,80 +34,19 @@
 constexpr Duration SettlePause = std::chrono::milliseconds(250);
 constexpr size_t MaxDetails = 20;
 
-/// The settings of a run.
-struct Settings {
-  PlanOptions m_Plan;
-  CallerOptions m_Caller;
-  std::vector<Address> m_Entries;
-  std::vector<Address> m_Backends;
-  Duration m_Settle{};
-  std::optional<AddedLatencyOptions> m_Added;
-  std::optional<Duration> m_MaxAddedP99;
-};
-
-Duration fromSeconds(double Seconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Seconds));
-}
-
-Result<void> checkNumbers() {
-  if (FLAGS_seconds <= 0)
-    return fail(ErrorCode::InvalidInput, "--seconds is not above zero");
-  if (FLAGS_threads == 0 || FLAGS_timeout_ms == 0 || FLAGS_upload_bytes == 0 ||
-      FLAGS_direct_pairs == 0)
-    return fail(ErrorCode::InvalidInput,
-                "one of --threads, --timeout_ms, --upload_bytes, "
-                "--direct_pairs is zero");
-  if (FLAGS_settle_seconds < 0)
-    return fail(ErrorCode::InvalidInput, "--settle_seconds is negative");
-  return boost::outcome_v2::success();
-}
-
-Result<std::optional<AddedLatencyOptions>> readAdded(const PlanOptions &Plan) {
-  if (FLAGS_direct.empty())
-    return std::optional<AddedLatencyOptions>();
-  AddedLatencyOptions Added;
-  BOOST_OUTCOME_TRY(Direct, parseAddress(FLAGS_direct));
-  Added.m_Direct = Direct;
-  Added.m_DataCentre = Plan.m_DataCentres.front();
-  Added.m_Pairs = FLAGS_direct_pairs;
-  for (const ServiceLoad &Service : Plan.m_Services)
-    if (Added.m_Service.empty() &&
-        Service.m_Class == catalogue::ServiceClass::Lookup)
-      Added.m_Service = Service.m_Name;
-  if (Added.m_Service.empty())
-    return fail(ErrorCode::InvalidInput,
-                "--direct needs a service of the class lookup");
-  return std::optional<AddedLatencyOptions>(Added);
-}
-
-Result<Settings> readRun() {
-  BOOST_OUTCOME_TRY(checkNumbers());
-  Settings Read;
-  BOOST_OUTCOME_TRY(Services, parseServices(FLAGS_services));
-  BOOST_OUTCOME_TRY(DataCentres,
-                    parseNames(FLAGS_data_centres, "--data_centres"));
-  BOOST_OUTCOME_TRY(Entries, parseAddresses(FLAGS_entries, "--entries"));
-  BOOST_OUTCOME_TRY(Backends, parseAddresses(FLAGS_backends, "--backends"));
-  if (Entries.empty() || Backends.empty())
-    return fail(ErrorCode::InvalidInput, "--entries or --backends is empty");
-  Read.m_Plan = {Services, DataCentres, fromSeconds(FLAGS_seconds), FLAGS_seed,
-                 FLAGS_upload_bytes};
-  Read.m_Entries = Entries;
-  Read.m_Backends = Backends;
-  Read.m_Caller.m_Timeout = std::chrono::milliseconds(FLAGS_timeout_ms);
-  Read.m_Caller.m_RetryMoney = FLAGS_retry_money;
-  Read.m_Settle = fromSeconds(FLAGS_settle_seconds);
-  BOOST_OUTCOME_TRY(Added, readAdded(Read.m_Plan));
-  Read.m_Added = Added;
-  if (FLAGS_max_added_p99_ms >= 0)
-    Read.m_MaxAddedP99 = fromSeconds(FLAGS_max_added_p99_ms / 1000);
-  return Read;
+RunFlags readFlags() {
+  return {FLAGS_entries,        FLAGS_services,
+          FLAGS_data_centres,   FLAGS_seconds,
+          FLAGS_seed,           FLAGS_backends,
+          FLAGS_threads,        FLAGS_timeout_ms,
+          FLAGS_upload_bytes,   FLAGS_retry_money,
+          FLAGS_settle_seconds, FLAGS_direct,
+          FLAGS_direct_pairs,   FLAGS_max_added_p99_ms};
 }
 
 /// Compares with the ledgers, and again while uploads that were told completed
 /// may still be on their way.
-Result<Findings> compareWithLedgers(const Settings &Run,
+Result<Findings> compareWithLedgers(const RunSettings &Run,
                                     std::span<const CallRecord> Records,
                                     httpclient::Client &Client,
                                     const Clock &Clock) {
@@ -131,7 +70,7 @@
       Argc, Argv,
       "Calls the system as its callers do and compares what they were told "
       "with what the backend servers executed"));
-  BOOST_OUTCOME_TRY(Run, readRun());
+  BOOST_OUTCOME_TRY(Run, checkRunFlags(readFlags()));
   SystemClock Clock;
   httpclient::Client Client(FLAGS_threads);
   AddressBook Addresses(Run.m_Entries, Client, Clock, FLAGS_seed);
