--- a/libs/load/tests/CallerTest.cpp
+++ b/libs/load/tests/CallerTest.cpp
@@ -216,6 +216,15 @@
   CHECK(callOutcome(Record) == CallOutcome::NotRun);
 }
 
+TEST_CASE("an address that failed is used again if no other is named") {
+  Fixture Under({Step::Lose, Step::Complete}, {Step::Complete});
+  Under.m_First.m_Named = Under.m_Second.m_Named =
+      nameAddresses({Under.m_First.address()});
+  CallRecord Record = Under.m_Caller.run(makeCall(ServiceClass::Lookup));
+  CHECK(callOutcome(Record) == CallOutcome::Completed);
+  CHECK(Under.m_First.m_Calls == 2);
+}
+
 TEST_CASE("answers that are not the request's own have a flaw") {
   PlannedCall Call = makeCall(ServiceClass::Upload);
   CallRequest Request = buildRequest(Call, "run");
@@ -224,7 +233,7 @@
   const std::string Digest = protocol::contentDigest(Body);
   struct Row {
     const char *m_What;
-    int m_Status;
+    long m_Status;
     std::string m_Correlation;
     std::string m_Digest;
     std::string m_Body;
@@ -243,7 +252,7 @@
   for (const Row &Case : Rows) {
     CAPTURE(Case.m_What);
     httpclient::Response Answer;
-    Answer.m_Status = Case.m_Status;
+    Answer.m_Status = static_cast<int>(Case.m_Status);
     Answer.m_Headers["hyssopcross-correlation-id"] = Case.m_Correlation;
     Answer.m_Headers["content-digest"] = Case.m_Digest;
     Answer.m_Body = Case.m_Body;
