--- a/tools/hyssopcross/Main.cpp
+++ b/tools/hyssopcross/Main.cpp
@@ -4,7 +4,7 @@
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
-#include <sstream>
+#include <iterator>
 #include <thread>
 #include <unistd.h>
 
@@ -57,10 +57,10 @@
 
 Result<std::string> readFile(const std::string &Path) {
   std::ifstream File(Path, std::ios::binary);
-  std::ostringstream Text;
-  if (!File || !(Text << File.rdbuf()))
+  std::string Text(std::istreambuf_iterator<char>(File), {});
+  if (!File.is_open() || File.bad())
     return fail(ErrorCode::NotFound, Path + " cannot be read");
-  return Text.str();
+  return Text;
 }
 
 std::optional<bool> askTerminal(std::string_view Question) {
