--- a/libs/catalogue/tests/CatalogueWorld.cpp
+++ b/libs/catalogue/tests/CatalogueWorld.cpp
@@ -77,9 +77,11 @@
     Of.m_Highest = Install->m_Catalogue->m_Version;
   } else if (auto *Take = std::get_if<TakeWork>(&Action))
     Of.m_Takes = Take->m_Take;
-  else if (auto *Tell = std::get_if<AnnounceVersion>(&Action))
+  else if (auto *Tell = std::get_if<AnnounceVersion>(&Action)) {
+    m_Announced++;
     tell(Index, vmIndex(Tell->m_Peer), Tell->m_Version);
-  else if (auto *Fetch = std::get_if<FetchFromPeer>(&Action)) {
+  } else if (auto *Fetch = std::get_if<FetchFromPeer>(&Action)) {
+    m_Fetched++;
     size_t Peer = vmIndex(Fetch->m_Peer);
     m_Time.in(m_Time.between(1ms, 5ms), [=, this] {
       if (connected(Index, Peer))
@@ -227,6 +229,7 @@
   m_Store.m_SlowBy = {};
   // The VM that commits dies before it tells anyone.
   m_EditorDies = true;
+  m_Announced = m_Fetched = 0;
   size_t Refused = m_Refused.size();
   change("s0", 98);
   change("s1", 99);
--- a/libs/catalogue/tests/CatalogueWorld.h
+++ b/libs/catalogue/tests/CatalogueWorld.h
@@ -37,6 +37,8 @@
   records::testing::FakeStore m_Store;
   /// From acceptance until all have it, with all connected at the end.
   Duration m_LastSpread{};
+  uint64_t m_Announced = 0;
+  uint64_t m_Fetched = 0;
 
 private:
   static constexpr size_t Vms = 30;
--- a/libs/catalogue/tests/RandomisedTest.cpp
+++ b/libs/catalogue/tests/RandomisedTest.cpp
@@ -1,4 +1,5 @@
 #include "CatalogueWorld.h"
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 #include <stdexcept>
@@ -101,3 +102,23 @@
     MESSAGE(Case.m_Mechanism << " off: " << Wrong);
   }
 }
+
+TEST_CASE("two changes whose committer dies are in force soon, cheaply") {
+  constexpr uint64_t Runs = 50;
+  std::vector<Duration> Spreads;
+  uint64_t Announced = 0;
+  uint64_t Fetched = 0;
+  for (uint64_t Seed = 1; Seed <= Runs; ++Seed) {
+    CatalogueWorld World(Seed, {0, 0, 0, 0, 0, 0}, {}, {});
+    CHECK(World.run() == "");
+    Spreads.push_back(World.m_LastSpread);
+    Announced += World.m_Announced;
+    Fetched += World.m_Fetched;
+  }
+  std::sort(Spreads.begin(), Spreads.end());
+  MESSAGE("runs=" << Runs << " vms=30 spread_p50_ms="
+                  << Spreads[Runs / 2].count() / 1000000
+                  << " spread_max_ms=" << Spreads.back().count() / 1000000
+                  << " announced_per_run=" << Announced / Runs
+                  << " fetched_per_run=" << Fetched / Runs);
+}
--- a/libs/claims/include/hyssopcross/claims/Claims.h
+++ b/libs/claims/include/hyssopcross/claims/Claims.h
@@ -17,7 +17,7 @@
   /// Rows written by one transaction.
   size_t m_GroupRows = 32;
   /// Transactions in flight from this process.
-  size_t m_CommitsInFlight = 4;
+  size_t m_CommitsInFlight = 2;
   /// Claims held in memory; beyond it, calls are refused.
   size_t m_MaxClaims = 4096;
   /// Answers up to this size in bytes are kept in the row, larger ones in the
--- a/libs/claims/tests/ClaimsTest.cpp
+++ b/libs/claims/tests/ClaimsTest.cpp
@@ -201,3 +201,62 @@
                         << " reads=" << World.m_Store.m_Reads);
   CHECK(World.m_Store.m_RowWrites == 2 * World.m_Executions);
 }
+
+TEST_CASE("transactions for each call fall as the load grows") {
+  struct Row {
+    uint32_t m_CallsPerSecond;
+    double m_MostTransactions;
+  };
+  const Row Rows[] = {{10, 2.0}, {100, 1.5}, {300, 1.0}, {1000, 0.4}};
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.m_CallsPerSecond);
+    records::testing::Agenda Time(1);
+    records::testing::FakeStore Store(Time);
+    ClaimState State("vm1", {}, 1);
+    uint64_t Answers = 0;
+    std::vector<Duration> Waits;
+    std::map<CallId, TimePoint> Arrived;
+    std::function<void(const Event &)> Feed = [&](const Event &Event) {
+      std::vector<Action> Actions;
+      step(State, Event, Time.now(), Actions);
+      for (const Action &Each : Actions) {
+        if (auto *Start = std::get_if<StartCall>(&Each)) {
+          Waits.push_back(Time.now().m_Now - Arrived[Start->m_Call]);
+          Feed(SendAsked{Start->m_Call});
+        }
+        if (auto *Allow = std::get_if<AllowSend>(&Each))
+          Time.in(10ms, [&, Id = Allow->m_Call] {
+            Feed(SendEnded{Id, SendEnd::Completed, {200, "", "ok"}});
+          });
+        if (auto *Read = std::get_if<records::ReadRow>(&Each))
+          Store.perform(*Read, Feed);
+        if (auto *Commit = std::get_if<records::CommitRows>(&Each))
+          Store.perform(*Commit, Feed);
+        if (auto *Wake = std::get_if<WakeAt>(&Each))
+          Time.in(Wake->m_Time - Time.now().m_Now, [&] { Feed(Woke{}); });
+        Answers += std::holds_alternative<Answer>(Each) ? 1 : 0;
+      }
+    };
+    constexpr uint32_t Seconds = 5;
+    uint32_t Calls = Case.m_CallsPerSecond * Seconds;
+    for (uint32_t I = 1; I <= Calls; ++I)
+      Time.in(Time.between({}, std::chrono::seconds(Seconds)), [&, I] {
+        Arrived[I] = Time.now().m_Now;
+        Feed(MoneyArrived{I, "caja", "k" + std::to_string(I), "d",
+                          Time.now().m_Wall + 2s, false});
+      });
+    Time.run(20s);
+    std::sort(Waits.begin(), Waits.end());
+    double PerCall = static_cast<double>(Store.m_Commits) / Calls;
+    MESSAGE(
+        "calls_per_second="
+        << Case.m_CallsPerSecond << " transactions_per_call=" << PerCall
+        << " rows_per_call=" << static_cast<double>(Store.m_RowWrites) / Calls
+        << " reads_per_call=" << static_cast<double>(Store.m_Reads) / Calls
+        << " claim_p50_us=" << Waits[Waits.size() / 2].count() / 1000
+        << " claim_p99_us=" << Waits[Waits.size() * 99 / 100].count() / 1000);
+    CHECK(Answers == Calls);
+    CHECK(Store.m_RowWrites == 2 * Calls);
+    CHECK(PerCall <= Case.m_MostTransactions);
+  }
+}
--- a/tools/hyssopcross/tests/CommandsTest.cpp
+++ b/tools/hyssopcross/tests/CommandsTest.cpp
@@ -63,7 +63,7 @@
     return Response{Answer.m_Status, Answer.m_Body};
   }
 
-  int run(std::vector<std::string> Words) {
+  int run(const std::vector<std::string> &Words) {
     m_Out.clear();
     m_Err.clear();
     Surroundings Around;
