--- a/libs/ownership/include/hyssopcross/ownership/LeaseRow.h
+++ b/libs/ownership/include/hyssopcross/ownership/LeaseRow.h
@@ -22,6 +22,15 @@
   Free,
 };
 
+/// One run of a VM that may take a lease soon after it has lapsed. Another run
+/// of the same VM is not meant: it knows nothing of this one's promises.
+struct Elector {
+  std::string m_Name;
+  uint64_t m_Incarnation = 0;
+
+  friend auto operator<=>(const Elector &, const Elector &) = default;
+};
+
 /// The value of a pool's row in the platform's table. A row is never deleted,
 /// so that its epoch never goes back.
 struct LeaseRow {
@@ -40,9 +49,9 @@
   /// as the writer has them set.
   std::chrono::milliseconds m_TimeToLive{};
   std::chrono::milliseconds m_Extension{};
-  /// The VMs that may take the lease when the row stood unchanged for the time
-  /// to live; all others wait for the extension as well.
-  std::vector<std::string> m_Electors;
+  /// Who may take the lease when the row stood unchanged for the time to live;
+  /// all others wait for the extension as well.
+  std::vector<Elector> m_Electors;
 
   friend bool operator==(const LeaseRow &, const LeaseRow &) = default;
 };
--- a/libs/ownership/include/hyssopcross/ownership/Messages.h
+++ b/libs/ownership/include/hyssopcross/ownership/Messages.h
@@ -32,6 +32,7 @@
 /// only for a lease that it has itself read as the asking owner's.
 struct PromiseAnswer {
   std::string m_From;
+  uint64_t m_Incarnation = 0;
   uint64_t m_Round = 0;
   std::vector<PoolEpoch> m_Granted;
 };
--- a/libs/ownership/include/hyssopcross/ownership/Ownership.h
+++ b/libs/ownership/include/hyssopcross/ownership/Ownership.h
@@ -42,7 +42,7 @@
   /// How long a promise binds an elector, and how often an owner that cannot
   /// renew asks for new ones.
   Duration m_PromiseTime = std::chrono::seconds(6);
-  Duration m_PromiseEvery = std::chrono::seconds(2);
+  Duration m_PromiseEvery = std::chrono::seconds(1);
   /// The longest time that promises keep an owner confirmed after its lease
   /// has run out. An owner without electors is not extended.
   Duration m_Extension = std::chrono::minutes(2);
@@ -71,6 +71,7 @@
   bool m_CheckPromises = true;
   bool m_WaitExtension = true;
   bool m_WaitAfterStart = true;
+  bool m_ElectRuns = true;
   bool m_ValidFromSend = true;
   bool m_Sticky = true;
   bool m_IgnoreOldIncarnations = true;
@@ -157,8 +158,10 @@
   bool m_EverRead = false;
   /// The row was malformed or of a lower epoch.
   bool m_Rejected = false;
-  /// When this version was first seen, on this VM's clock.
+  /// When this version was first seen, on this VM's clock; or seen again after
+  /// the store could not be reached, so that the owner can renew first.
   TimePoint m_SeenAt;
+  bool m_SightLost = false;
   /// When the row was last read.
   TimePoint m_ReadAt;
   /// The request that is under way; zero for none.
@@ -176,11 +179,12 @@
   /// The status last reported by LeaseChanged.
   LeaseStatus m_Reported = LeaseStatus::NotOwner;
   uint64_t m_HighestEpoch = 0;
-  /// Until when this VM has promised not to take the lease.
+  /// Until when this VM has promised not to take the lease. For a pool that is
+  /// new to it, the time that an earlier promise could last.
   TimePoint m_PromisedUntil;
   /// Until when each elector has promised the same to this VM, and for which
   /// epoch.
-  std::map<std::string, ReceivedPromise> m_Promises;
+  std::map<Elector, ReceivedPromise> m_Promises;
   std::optional<HandOver> m_HandOver;
   /// A release whose result is unknown may still take effect.
   bool m_ReleaseMayApply = false;
@@ -193,8 +197,6 @@
   /// the pool.
   std::string m_Predecessor;
   bool m_Planned = false;
-  /// When the pool was first named to this process.
-  TimePoint m_AddedAt;
 };
 
 /// A write of one pool's row.
@@ -228,6 +230,8 @@
   std::mt19937_64 m_Random;
   bool m_Stopping = false;
   bool m_Drained = false;
+  /// Whether the last answer of the store was one; releases wait for that.
+  bool m_StoreReached = true;
   std::map<PoolId, PoolLease> m_Pools;
   std::map<std::string, CandidateState> m_Candidates;
   std::map<uint64_t, StoreRequest> m_Requests;
--- a/libs/ownership/src/Context.h
+++ b/libs/ownership/src/Context.h
@@ -30,9 +30,9 @@
 std::optional<TimePoint> takeableAt(const OwnershipState &State,
                                     const PoolLease &Lease);
 
-/// The VMs whose promises keep the lease confirmed: the electors of all rows
+/// The runs whose promises keep the lease confirmed: the electors of all rows
 /// that may stand in the table now.
-std::set<std::string> neededPromises(const PoolLease &Lease);
+std::set<Elector> neededPromises(const PoolLease &Lease);
 
 // Rank.cpp
 
@@ -44,8 +44,8 @@
                               const PoolLease &Lease);
 
 /// The first candidates other than this VM.
-std::vector<std::string> chooseElectors(const OwnershipState &State,
-                                        const PoolLease &Lease);
+std::vector<Elector> chooseElectors(const OwnershipState &State,
+                                    const PoolLease &Lease);
 
 bool isCandidate(const OwnershipState &State);
 
--- a/libs/ownership/src/HandOver.cpp
+++ b/libs/ownership/src/HandOver.cpp
@@ -112,7 +112,8 @@
   for (auto &[Pool, Lease] : State.m_Pools)
     if (Lease.m_HandOver)
       proceed(Step, Lease);
-  if (Step.m_Now < State.m_NextHandOver && !State.m_Stopping)
+  bool Paused = Step.m_Now < State.m_NextHandOver && !State.m_Stopping;
+  if (Paused || !State.m_StoreReached)
     return;
   size_t UnderWay = handOversUnderWay(State);
   size_t Bound = handOverBound(State);
--- a/libs/ownership/src/Lease.cpp
+++ b/libs/ownership/src/Lease.cpp
@@ -37,16 +37,19 @@
 std::optional<Duration> readInterval(const OwnershipState &State,
                                      const PoolLease &Lease, TimePoint Now) {
   const OwnershipPolicy &Policy = State.m_Policy;
-  if (Now < Lease.m_ExpectUntil)
+  bool Named = Lease.m_Row && isOwn(State, *Lease.m_Row);
+  if (Named || Now < Lease.m_ExpectUntil)
     return Policy.m_RetryEvery;
   std::optional<size_t> Rank = ownRank(State, Lease);
   if (!Rank || *Rank > Policy.m_Electors)
     return {};
   bool OwnerThere =
       Lease.m_Row && State.m_Candidates.contains(Lease.m_Row->m_Owner);
-  if (*Rank == 0 || !OwnerThere)
-    return Policy.m_WatchEvery;
-  return Policy.m_RefreshEvery;
+  if (*Rank != 0 && OwnerThere)
+    return Policy.m_RefreshEvery;
+  std::optional<TimePoint> At = takeableAt(State, Lease);
+  bool Lapsed = At && *At <= Now;
+  return Lapsed ? Policy.m_RetryEvery : Policy.m_WatchEvery;
 }
 
 bool readDue(const OwnershipState &State, const PoolLease &Lease,
@@ -61,7 +64,10 @@
 
 void watch(Context &Step, const PoolId &Pool, PoolLease &Lease) {
   std::optional<TimePoint> At = takeableAt(Step.m_State, Lease);
-  if (!Lease.m_ReadBack && At && *At <= Step.m_Now)
+  // A row that was not read lately may well have been renewed.
+  bool ReadLately =
+      Step.m_Now - Lease.m_ReadAt < Step.m_State.m_Policy.m_RetryEvery;
+  if (!Lease.m_ReadBack && ReadLately && At && *At <= Step.m_Now)
     take(Step, Pool, Lease);
   else if (readDue(Step.m_State, Lease, Step.m_Now))
     sendRead(Step, Pool, Lease);
--- a/libs/ownership/src/LeaseRow.cpp
+++ b/libs/ownership/src/LeaseRow.cpp
@@ -42,7 +42,9 @@
       std::chrono::milliseconds(Object.at("ttl_ms").get<uint32_t>());
   Row.m_Extension =
       std::chrono::milliseconds(Object.at("extension_ms").get<uint32_t>());
-  Object.at("electors").get_to(Row.m_Electors);
+  for (const Json &Named : Object.at("electors"))
+    Row.m_Electors.push_back({Named.at("vm").get<std::string>(),
+                              Named.at("incarnation").get<uint64_t>()});
   return Row;
 }
 
@@ -53,6 +55,10 @@
 }
 
 std::string encodeLeaseRow(const LeaseRow &Row) {
+  Json Electors = Json::array();
+  for (const Elector &Named : Row.m_Electors)
+    Electors.push_back(
+        {{"vm", Named.m_Name}, {"incarnation", Named.m_Incarnation}});
   Json Object = {{"state", rowStateName(Row.m_State)},
                  {"owner", Row.m_Owner},
                  {"incarnation", Row.m_Incarnation},
@@ -62,7 +68,7 @@
                  {"peer", Row.m_PeerAddress},
                  {"ttl_ms", Row.m_TimeToLive.count()},
                  {"extension_ms", Row.m_Extension.count()},
-                 {"electors", Row.m_Electors}};
+                 {"electors", std::move(Electors)}};
   return Object.dump();
 }
 
--- a/libs/ownership/src/Messages.cpp
+++ b/libs/ownership/src/Messages.cpp
@@ -37,8 +37,8 @@
 }
 
 size_t bodySize(const PromiseAnswer &Body) {
-  return stringField(Body.m_From) + integerField(Body.m_Round) +
-         poolList(Body.m_Granted);
+  return stringField(Body.m_From) + integerField(Body.m_Incarnation) +
+         integerField(Body.m_Round) + poolList(Body.m_Granted);
 }
 
 size_t bodySize(const HandOverOffer &Body) {
--- a/libs/ownership/src/Ownership.cpp
+++ b/libs/ownership/src/Ownership.cpp
@@ -22,8 +22,9 @@
   }
   for (const PoolId &Pool : Kept) {
     auto [Lease, Added] = State.m_Pools.try_emplace(Pool);
-    if (Added)
-      Lease->second.m_AddedAt = Step.m_Now;
+    if (Added && State.m_Policy.m_WaitAfterStart)
+      Lease->second.m_PromisedUntil =
+          Step.m_Now + takerTime(State.m_Policy, State.m_Policy.m_PromiseTime);
   }
   rankPools(State);
 }
--- a/libs/ownership/src/Promises.cpp
+++ b/libs/ownership/src/Promises.cpp
@@ -39,8 +39,8 @@
   for (const auto &[Pool, Lease] : State.m_Pools) {
     if (!isThreatened(Step, Lease))
       continue;
-    for (const std::string &Name : neededPromises(Lease))
-      Asked[Name].push_back({Pool, Lease.m_Row->m_Epoch});
+    for (const Elector &Named : neededPromises(Lease))
+      Asked[Named.m_Name].push_back({Pool, Lease.m_Row->m_Epoch});
   }
   if (Asked.empty())
     return;
@@ -56,7 +56,8 @@
 void takeMessage(Context &Step, const PromiseRequest &Request) {
   OwnershipState &State = Step.m_State;
   Duration Bound = takerTime(State.m_Policy, State.m_Policy.m_PromiseTime);
-  PromiseAnswer Answer{State.m_Self.m_Name, Request.m_Round, {}};
+  PromiseAnswer Answer{
+      State.m_Self.m_Name, State.m_Self.m_Incarnation, Request.m_Round, {}};
   for (const PoolEpoch &Asked : Request.m_Pools) {
     auto Found = State.m_Pools.find(Asked.m_Pool);
     if (Found == State.m_Pools.end())
@@ -79,12 +80,13 @@
     return;
   TimePoint Until = State.m_PromiseRoundAt +
                     holderTime(State.m_Policy, State.m_Policy.m_PromiseTime);
+  Elector Promising{Answer.m_From, Answer.m_Incarnation};
   for (const PoolEpoch &Granted : Answer.m_Granted) {
     auto Found = State.m_Pools.find(Granted.m_Pool);
     if (Found == State.m_Pools.end() || Found->second.m_Role != Role::Holding ||
         Found->second.m_Row->m_Epoch != Granted.m_Epoch)
       continue;
-    Found->second.m_Promises[Answer.m_From] = {Granted.m_Epoch, Until};
+    Found->second.m_Promises[Promising] = {Granted.m_Epoch, Until};
   }
 }
 
--- a/libs/ownership/src/Rank.cpp
+++ b/libs/ownership/src/Rank.cpp
@@ -59,17 +59,18 @@
   return {};
 }
 
-std::vector<std::string> chooseElectors(const OwnershipState &State,
-                                        const PoolLease &Lease) {
+std::vector<Elector> chooseElectors(const OwnershipState &State,
+                                    const PoolLease &Lease) {
   // While a write may still take effect, its electors stay the same: thus at
   // most two sets of electors have to promise.
   if (!Lease.m_Sent.empty())
     return Lease.m_Sent.back().m_Row.m_Electors;
-  std::vector<std::string> Electors;
+  std::vector<Elector> Electors;
   for (const std::string &Name : Lease.m_Ranked)
     if (Name != State.m_Self.m_Name &&
         Electors.size() < State.m_Policy.m_Electors)
-      Electors.push_back(Name);
+      Electors.push_back(
+          {Name, State.m_Candidates.at(Name).m_Candidate.m_Incarnation});
   return Electors;
 }
 
--- a/libs/ownership/src/Store.cpp
+++ b/libs/ownership/src/Store.cpp
@@ -90,12 +90,14 @@
              const std::optional<platform::Row> &Row) {
   uint64_t Version = Row ? Row->m_Version : 0;
   bool Changed = !Lease.m_EverRead || Version != Lease.m_Version;
+  if (Changed || Lease.m_SightLost)
+    Lease.m_SeenAt = Step.m_Now;
+  Lease.m_SightLost = false;
   Lease.m_EverRead = true;
   Lease.m_ReadBack = false;
   Lease.m_ReadAt = Step.m_Now;
   Lease.m_Version = Version;
   if (Changed) {
-    Lease.m_SeenAt = Step.m_Now;
     std::optional<LeaseRow> Parsed;
     if (Row) {
       Result<LeaseRow> Value = parseLeaseRow(Row->m_Value);
@@ -140,8 +142,10 @@
                  CommitEnd End) {
   forgetSent(Lease, Write.m_Row);
   Lease.m_ReadBack = End == CommitEnd::Conflict || Lease.m_ReadBack;
-  if (End == CommitEnd::Unavailable)
+  if (End == CommitEnd::Unavailable) {
+    Lease.m_SightLost = true;
     Lease.m_RetryAt = Step.m_Now + Step.m_State.m_Policy.m_RetryEvery;
+  }
   if (Lease.m_Role == Role::Taking && Lease.m_Sent.empty())
     loseLease(Lease);
   // The lease stands as before, and may be kept confirmed during an outage.
@@ -191,6 +195,7 @@
   auto Request = closeRequest(Step, Answer.m_Request);
   if (!Request || !Request->m_Read)
     return;
+  Step.m_State.m_StoreReached = true;
   PoolLease *Lease = findLease(Step, *Request->m_Read, Answer.m_Request);
   if (!Lease)
     return;
@@ -202,10 +207,12 @@
   auto Request = closeRequest(Step, Id);
   if (!Request || !Request->m_Read)
     return;
+  Step.m_State.m_StoreReached = false;
   PoolLease *Lease = findLease(Step, *Request->m_Read, Id);
   if (!Lease)
     return;
   Lease->m_Request = 0;
+  Lease->m_SightLost = true;
   Lease->m_RetryAt = Step.m_Now + Step.m_State.m_Policy.m_RetryEvery;
 }
 
@@ -213,6 +220,8 @@
   auto Request = closeRequest(Step, Answer.m_Request);
   if (!Request)
     return;
+  Step.m_State.m_StoreReached = Answer.m_End == CommitEnd::Committed ||
+                                Answer.m_End == CommitEnd::Conflict;
   bool Optimistic = !Step.m_State.m_Policy.m_ReadBack;
   for (const PoolWrite &Write : Request->m_Writes) {
     PoolLease *Lease = findLease(Step, Write.m_Pool, Answer.m_Request);
--- a/libs/ownership/src/Timing.cpp
+++ b/libs/ownership/src/Timing.cpp
@@ -11,8 +11,13 @@
 }
 
 bool isElector(const OwnershipState &State, const LeaseRow &Row) {
-  return std::find(Row.m_Electors.begin(), Row.m_Electors.end(),
-                   State.m_Self.m_Name) != Row.m_Electors.end();
+  return std::any_of(Row.m_Electors.begin(), Row.m_Electors.end(),
+                     [&State](const auto &Named) {
+                       return Named.m_Name == State.m_Self.m_Name &&
+                              (Named.m_Incarnation ==
+                                   State.m_Self.m_Incarnation ||
+                               !State.m_Policy.m_ElectRuns);
+                     });
 }
 
 /// When a row that names another holder may be taken.
@@ -21,17 +26,13 @@
   const LeaseRow &Row = *Lease.m_Row;
   if (!Policy.m_WaitTimeToLive)
     return Lease.m_SeenAt;
-  bool Elector = isElector(State, Row);
+  bool Named = isElector(State, Row);
   Duration Wait = Row.m_TimeToLive;
-  if (Policy.m_WaitExtension && !Elector)
+  if (Policy.m_WaitExtension && !Named)
     Wait += Row.m_Extension;
   TimePoint At = Lease.m_SeenAt + takerTime(Policy, Wait);
   if (Policy.m_CheckPromises)
     At = std::max(At, Lease.m_PromisedUntil);
-  // An earlier run of this VM may have promised.
-  if (Elector && Policy.m_WaitAfterStart)
-    At =
-        std::max(At, Lease.m_AddedAt + takerTime(Policy, Policy.m_PromiseTime));
   return At;
 }
 
@@ -43,11 +44,11 @@
     return false;
   if (!Policy.m_CheckPromises)
     return true;
-  std::set<std::string> Needed = neededPromises(Lease);
+  std::set<Elector> Needed = neededPromises(Lease);
   if (Needed.empty())
     return false;
-  return std::all_of(Needed.begin(), Needed.end(), [&](const auto &Name) {
-    auto Given = Lease.m_Promises.find(Name);
+  return std::all_of(Needed.begin(), Needed.end(), [&](const auto &Named) {
+    auto Given = Lease.m_Promises.find(Named);
     return Given != Lease.m_Promises.end() &&
            Given->second.m_Epoch == Lease.m_Row->m_Epoch &&
            Now < Given->second.m_Until;
@@ -72,7 +73,7 @@
 
 std::optional<TimePoint> takeableAt(const OwnershipState &State,
                                     const PoolLease &Lease) {
-  if (!Lease.m_EverRead || Lease.m_Rejected)
+  if (!Lease.m_EverRead || Lease.m_Rejected || Lease.m_SightLost)
     return {};
   if (Lease.m_Row && isOwn(State, *Lease.m_Row))
     return Lease.m_SeenAt;
@@ -85,8 +86,8 @@
   return lapsesAt(State, Lease) + Delay;
 }
 
-std::set<std::string> neededPromises(const PoolLease &Lease) {
-  std::set<std::string> Needed;
+std::set<Elector> neededPromises(const PoolLease &Lease) {
+  std::set<Elector> Needed;
   if (Lease.m_Row)
     Needed.insert(Lease.m_Row->m_Electors.begin(),
                   Lease.m_Row->m_Electors.end());
