--- a/libs/addresses/src/OwnerTable.cpp
+++ b/libs/addresses/src/OwnerTable.cpp
@@ -1,6 +1,7 @@
 #include "hyssopcross/addresses/OwnerTable.h"
 #include "hyssopcross/base/Invariant.h"
 #include "hyssopcross/membership/Encoding.h"
+#include <algorithm>
 
 namespace hyssopcross::addresses {
 
@@ -27,11 +28,20 @@
   return true;
 }
 
+/// The changes that were passed on least go first.
 void addChanges(OwnerTable &Table, Draft &Made) {
-  for (auto &[Pool, Record] : Table.m_Owners) {
-    if (Record.m_SendsLeft == 0 || !add(Made, Pool, Record))
-      continue;
-    --Record.m_SendsLeft;
+  std::vector<std::pair<const PoolId *, OwnerRecord *>> Changed;
+  for (auto &[Pool, Record] : Table.m_Owners)
+    if (Record.m_SendsLeft != 0)
+      Changed.emplace_back(&Pool, &Record);
+  std::stable_sort(Changed.begin(), Changed.end(),
+                   [](const auto &A, const auto &B) {
+                     return A.second->m_SendsLeft > B.second->m_SendsLeft;
+                   });
+  for (auto [Pool, Record] : Changed) {
+    if (!add(Made, *Pool, *Record))
+      return;
+    --Record->m_SendsLeft;
   }
 }
 
--- /dev/null
+++ b/libs/addresses/tests/AddressesTest.cpp
@@ -0,0 +1,319 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "hyssopcross/addresses/Addresses.h"
+#include <doctest/doctest.h>
+
+using namespace hyssopcross;
+using namespace hyssopcross::addresses;
+using namespace std::chrono_literals;
+using membership::VmStatus;
+
+namespace {
+
+const TimePoint Start{1h};
+const TimePoint Later = Start + 10min;
+
+/// Three data centres in two regions with two VMs each. The first VM of each
+/// owns its data centre's pool of boletas.
+RoutingView threeCentres() {
+  RoutingView View;
+  View.m_Self = "arequipa-1";
+  View.m_DataCentre = "arequipa";
+  View.m_ChangedAt = Start;
+  const char *Centres[][2] = {
+      {"arequipa", "south"}, {"cusco", "south"}, {"lima", "coast"}};
+  for (auto [Name, Region] : Centres) {
+    View.m_Catalogue.m_DataCentres[Name] = {Name, Region, true};
+    for (const char *Number : {"-1", "-2"}) {
+      std::string Vm = std::string(Name) + Number;
+      View.m_Members[Vm] = {Name, Vm + ":80", Vm + ":81", VmStatus::Alive};
+    }
+    learnOwner(View.m_Owners, {{"boletas", Name}, std::string(Name) + "-1", 1},
+               Start);
+  }
+  View.m_Catalogue.m_Services["boletas"].m_Name = "boletas";
+  return View;
+}
+
+std::vector<std::string> vmsFor(const RoutingView &View, const char *From) {
+  auto Answer = addressesFor(View, "boletas", From, Later, 0.0);
+  REQUIRE(Answer);
+  std::vector<std::string> Names;
+  for (const AnswerAddress &Known : Answer.value().m_Addresses)
+    Names.push_back(Known.m_Vm);
+  return Names;
+}
+
+using Names = std::vector<std::string>;
+
+void setStatus(RoutingView &View, const std::string &Vm, VmStatus Status) {
+  View.m_Members.at(Vm).m_Status = Status;
+}
+
+} // namespace
+
+TEST_CASE("which owners a caller is told, in which order") {
+  struct Row {
+    std::string m_Name;
+    const char *m_From;
+    void (*m_Change)(RoutingView &);
+    Names m_Expected;
+  };
+  const Row Rows[] = {
+      {"nearest first",
+       "arequipa",
+       [](RoutingView &) {},
+       {"arequipa-1", "cusco-1", "lima-1"}},
+      {"as seen from elsewhere",
+       "cusco",
+       [](RoutingView &) {},
+       {"cusco-1", "arequipa-1", "lima-1"}},
+      {"set distances count, in either order",
+       "arequipa",
+       [](RoutingView &View) {
+         View.m_Distances[{"lima", "arequipa"}] = 1ms;
+         View.m_Distances[{"arequipa", "cusco"}] = 5ms;
+       },
+       {"arequipa-1", "lima-1", "cusco-1"}},
+      {"a data centre the catalogue does not name",
+       "unheard",
+       [](RoutingView &) {},
+       {"arequipa-1", "cusco-1", "lima-1"}},
+      {"owner suspect",
+       "arequipa",
+       [](RoutingView &View) {
+         setStatus(View, "arequipa-1", VmStatus::Suspect);
+       },
+       {"cusco-1", "lima-1"}},
+      {"owner leaving",
+       "arequipa",
+       [](RoutingView &View) {
+         setStatus(View, "arequipa-1", VmStatus::Leaving);
+       },
+       {"cusco-1", "lima-1"}},
+      {"owner forgotten",
+       "arequipa",
+       [](RoutingView &View) { View.m_Members.erase("arequipa-1"); },
+       {"cusco-1", "lima-1"}},
+      {"data centre out of service",
+       "arequipa",
+       [](RoutingView &View) {
+         View.m_Catalogue.m_DataCentres["arequipa"].m_InService = false;
+       },
+       {"cusco-1", "lima-1"}},
+      {"owner taken out of service",
+       "arequipa",
+       [](RoutingView &View) { View.m_Catalogue.m_VmsOut.insert("cusco-1"); },
+       {"arequipa-1", "lima-1"}},
+      {"released pool",
+       "arequipa",
+       [](RoutingView &View) {
+         learnOwner(View.m_Owners, {{"boletas", "arequipa"}, "", 2}, Start);
+       },
+       {"cusco-1", "lima-1"}},
+      {"this VM is not current",
+       "arequipa",
+       [](RoutingView &View) { View.m_Current = false; },
+       {"cusco-1", "lima-1"}},
+      {"one VM owns two pools",
+       "arequipa",
+       [](RoutingView &View) {
+         learnOwner(View.m_Owners, {{"boletas", "lima"}, "cusco-1", 2}, Start);
+       },
+       {"arequipa-1", "cusco-1"}},
+  };
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.m_Name);
+    RoutingView View = threeCentres();
+    Case.m_Change(View);
+    Names Told = vmsFor(View, Case.m_From);
+    REQUIRE(Told.size() >= Case.m_Expected.size());
+    // Entry VMs that forward follow after the owners.
+    Names First(Told.begin(), Told.begin() + static_cast<std::ptrdiff_t>(
+                                                 Case.m_Expected.size()));
+    CHECK(First == Case.m_Expected);
+    CHECK(Told.size() <= View.m_Policy.m_Addresses);
+    auto Answer = addressesFor(View, "boletas", Case.m_From, Later, 0.0);
+    size_t Owners = 0;
+    for (const AnswerAddress &Known : Answer.value().m_Addresses) {
+      Owners += Known.m_Owner ? 1 : 0;
+      CHECK(Known.m_Address == Known.m_Vm + ":80");
+    }
+    CHECK(Owners == Case.m_Expected.size());
+  }
+}
+
+TEST_CASE("without any owner, entry VMs of the data centre forward") {
+  RoutingView View = threeCentres();
+  View.m_Owners = {};
+  Names Told = vmsFor(View, "cusco");
+  REQUIRE(Told.size() == 4);
+  CHECK(View.m_Members.at(Told[0]).m_DataCentre == "cusco");
+  CHECK(View.m_Members.at(Told[1]).m_DataCentre == "cusco");
+  for (auto &[Vm, Member] : View.m_Members)
+    Member.m_Status = VmStatus::Dead;
+  CHECK(vmsFor(View, "cusco").empty());
+}
+
+TEST_CASE("an unknown service is an error") {
+  auto Answer = addressesFor(threeCentres(), "nothing", "cusco", Later, 0.0);
+  REQUIRE(!Answer);
+  CHECK(Answer.error().m_Code == ErrorCode::NotFound);
+}
+
+TEST_CASE("how long an answer holds") {
+  struct Row {
+    std::string m_Name;
+    void (*m_Change)(RoutingView &);
+    double m_Random;
+    Duration m_Holds;
+  };
+  const Row Rows[] = {
+      {"steady", [](RoutingView &) {}, 0.0, 30s},
+      {"jittered", [](RoutingView &) {}, 0.5, 25500ms},
+      {"members changed",
+       [](RoutingView &View) { View.m_ChangedAt = Later - 1s; }, 0.0, 3s},
+      {"an owner changed",
+       [](RoutingView &View) {
+         learnOwner(View.m_Owners, {{"boletas", "lima"}, "lima-2", 2},
+                    Later - 1s);
+       },
+       0.0, 3s},
+      {"another service's owner changed",
+       [](RoutingView &View) {
+         learnOwner(View.m_Owners, {{"caja", "lima"}, "lima-2", 2}, Later - 1s);
+       },
+       0.0, 30s},
+      {"a pool has no owner",
+       [](RoutingView &View) {
+         learnOwner(View.m_Owners, {{"boletas", "lima"}, "", 2}, Start);
+       },
+       0.0, 3s},
+      {"view not current", [](RoutingView &View) { View.m_Current = false; },
+       0.0, 3s},
+  };
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.m_Name);
+    RoutingView View = threeCentres();
+    Case.m_Change(View);
+    auto Answer =
+        addressesFor(View, "boletas", "arequipa", Later, Case.m_Random);
+    CHECK(Answer.value().m_Holds == Case.m_Holds);
+  }
+}
+
+TEST_CASE("a call at a VM that is not the owner learns the better address") {
+  RoutingView View = threeCentres();
+  CHECK(!betterAddress(View, "boletas", "arequipa"));
+  auto Better = betterAddress(View, "boletas", "cusco");
+  REQUIRE(Better);
+  CHECK(Better->m_Vm == "cusco-1");
+  CHECK(Better->m_Address == "cusco-1:80");
+  View.m_Owners = {};
+  CHECK(!betterAddress(View, "boletas", "cusco"));
+}
+
+TEST_CASE("where a call goes that has arrived") {
+  struct Row {
+    std::string m_Name;
+    PoolId m_Pool;
+    uint32_t m_Hops;
+    void (*m_Change)(RoutingView &);
+    ForwardKind m_Kind;
+    std::string m_Vm;
+    ForwardRefusal m_Refusal;
+  };
+  const PoolId Here{"boletas", "arequipa"};
+  const PoolId There{"boletas", "cusco"};
+  const auto Nothing = [](RoutingView &) {};
+  const Row Rows[] = {
+      {"own pool", Here, 0, Nothing, ForwardKind::ServeHere, "arequipa-1",
+       ForwardRefusal::None},
+      {"own pool after a forward", Here, 1, Nothing, ForwardKind::ServeHere,
+       "arequipa-1", ForwardRefusal::None},
+      {"another's pool", There, 0, Nothing, ForwardKind::Forward, "cusco-1",
+       ForwardRefusal::None},
+      {"another's pool after a forward, own one left", There, 1, Nothing,
+       ForwardKind::ServeHere, "arequipa-1", ForwardRefusal::None},
+      {"no own pool after a forward", There, 1,
+       [](RoutingView &View) { View.m_Self = "arequipa-2"; },
+       ForwardKind::Refuse, "", ForwardRefusal::TooManyHops},
+      {"unknown service",
+       {"nothing", "cusco"},
+       0,
+       Nothing,
+       ForwardKind::Refuse,
+       "",
+       ForwardRefusal::UnknownService},
+      {"no owner", There, 0, [](RoutingView &View) { View.m_Owners = {}; },
+       ForwardKind::Refuse, "", ForwardRefusal::NoOwner},
+      {"data centre out: the next one", Here, 0,
+       [](RoutingView &View) {
+         View.m_Catalogue.m_DataCentres["arequipa"].m_InService = false;
+       },
+       ForwardKind::Forward, "cusco-1", ForwardRefusal::None},
+      {"leaving, still the owner", Here, 0,
+       [](RoutingView &View) {
+         setStatus(View, "arequipa-1", VmStatus::Leaving);
+       },
+       ForwardKind::ServeHere, "arequipa-1", ForwardRefusal::None},
+      {"the owner is suspect: the next pool", There, 0,
+       [](RoutingView &View) { setStatus(View, "cusco-1", VmStatus::Suspect); },
+       ForwardKind::ServeHere, "arequipa-1", ForwardRefusal::None},
+  };
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.m_Name);
+    RoutingView View = threeCentres();
+    Case.m_Change(View);
+    ForwardDecision Decision = decideForward(View, Case.m_Pool, Case.m_Hops);
+    CHECK(Decision.m_Kind == Case.m_Kind);
+    CHECK(Decision.m_Vm == Case.m_Vm);
+    CHECK(Decision.m_Refusal == Case.m_Refusal);
+    CHECK((Decision.m_RetryAfter > Duration::zero()) ==
+          (Case.m_Refusal == ForwardRefusal::NoOwner));
+  }
+}
+
+TEST_CASE("a switch turned off shows what its mechanism is for") {
+  struct Row {
+    std::string m_Name;
+    bool AddressPolicy::*m_Switch;
+    bool (*m_Check)(RoutingView &);
+  };
+  const Row Rows[] = {
+      {"unfit VMs", &AddressPolicy::m_LeaveOutUnfit,
+       [](RoutingView &View) {
+         setStatus(View, "arequipa-1", VmStatus::Dead);
+         return vmsFor(View, "arequipa").front() != "arequipa-1";
+       }},
+      {"out of service", &AddressPolicy::m_LeaveOutOfService,
+       [](RoutingView &View) {
+         View.m_Catalogue.m_DataCentres["arequipa"].m_InService = false;
+         return vmsFor(View, "arequipa").front() != "arequipa-1";
+       }},
+      {"nearest first", &AddressPolicy::m_NearestFirst,
+       [](RoutingView &View) {
+         return vmsFor(View, "lima").front() == "lima-1";
+       }},
+      {"hops", &AddressPolicy::m_LimitHops,
+       [](RoutingView &View) {
+         PoolId Pool{"boletas", "cusco"};
+         View.m_Self = "arequipa-2";
+         return decideForward(View, Pool, 9).m_Kind == ForwardKind::Refuse;
+       }},
+      {"shorter while changing", &AddressPolicy::m_ShortenWhileChanging,
+       [](RoutingView &View) {
+         View.m_ChangedAt = Later;
+         return addressesFor(View, "boletas", "lima", Later, 0.0)
+                    .value()
+                    .m_Holds < 10s;
+       }},
+  };
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.m_Name);
+    RoutingView On = threeCentres();
+    CHECK(Case.m_Check(On));
+    RoutingView Off = threeCentres();
+    Off.m_Policy.*Case.m_Switch = false;
+    CHECK(!Case.m_Check(Off));
+  }
+}
--- /dev/null
+++ b/libs/addresses/tests/OwnerTableTest.cpp
@@ -0,0 +1,113 @@
+#include "hyssopcross/addresses/OwnerTable.h"
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace hyssopcross;
+using namespace hyssopcross::addresses;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Now{1h};
+const PoolId Boletas{"boletas", "arequipa"};
+
+rc::Gen<OwnerEntry> anyEntry() {
+  return rc::gen::map(
+      rc::gen::tuple(rc::gen::inRange(0, 4), rc::gen::inRange(1, 9)),
+      [](const std::tuple<int, int> &Drawn) {
+        auto [Pool, Epoch] = Drawn;
+        // One owner per pool and epoch, as leases guarantee.
+        return OwnerEntry{{"service-" + std::to_string(Pool), "arequipa"},
+                          "vm-" + std::to_string(Pool * 31 + Epoch),
+                          static_cast<uint64_t>(Epoch)};
+      });
+}
+
+bool holds(const std::function<void()> &Property) {
+  rc::detail::TestParams Params;
+  Params.seed = 4;
+  return rc::detail::checkTestable(
+             Property, rc::detail::TestMetadata{"owners", "owners"}, Params)
+      .is<rc::detail::SuccessResult>();
+}
+
+} // namespace
+
+TEST_CASE("the higher epoch wins, whatever the order of arrival") {
+  struct Row {
+    std::string m_Name;
+    uint64_t m_Epoch;
+    std::string m_Owner;
+    bool m_Changed;
+    std::string m_Expected;
+  };
+  const Row Rows[] = {
+      {"higher", 6, "vm-2", true, "vm-2"},
+      {"higher, the same owner", 6, "vm-1", false, "vm-1"},
+      {"equal", 5, "vm-2", false, "vm-1"},
+      {"lower", 4, "vm-2", false, "vm-1"},
+      {"released", 6, "", true, ""},
+  };
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.m_Name);
+    OwnerTable Table;
+    CHECK(learnOwner(Table, {Boletas, "vm-1", 5}, Now));
+    CHECK(learnOwner(Table, {Boletas, Case.m_Owner, Case.m_Epoch}, Now + 1s) ==
+          Case.m_Changed);
+    CHECK(Table.m_Owners.at(Boletas).m_Owner == Case.m_Expected);
+  }
+}
+
+TEST_CASE("two VMs that hear the same in any order agree") {
+  CHECK(holds([] {
+    auto Entries = *rc::gen::container<std::vector<OwnerEntry>>(anyEntry());
+    OwnerTable Forward;
+    OwnerTable Backward;
+    for (size_t Index = 0; Index < Entries.size(); ++Index) {
+      learnOwner(Forward, Entries[Index], Now);
+      learnOwner(Backward, Entries[Entries.size() - 1 - Index], Now);
+    }
+    RC_ASSERT(Forward.m_Owners.size() == Backward.m_Owners.size());
+    for (const auto &[Pool, Record] : Forward.m_Owners) {
+      RC_ASSERT(Record.m_Epoch == Backward.m_Owners.at(Pool).m_Epoch);
+      RC_ASSERT(Record.m_Owner == Backward.m_Owners.at(Pool).m_Owner);
+    }
+  }));
+}
+
+TEST_CASE("digests keep to their bytes and pass everything on in time") {
+  OwnerTable Table;
+  for (int Index = 0; Index < 264; ++Index)
+    learnOwner(Table,
+               {{"service-" + std::to_string(Index / 11),
+                 "dc-" + std::to_string(Index % 11)},
+                "vm-" + std::to_string(Index),
+                1},
+               Now);
+  OwnerTable Other;
+  size_t Rounds = 0;
+  for (; Other.m_Owners.size() < 264 && Rounds < 1000; ++Rounds) {
+    size_t Bytes = 0;
+    for (const OwnerEntry &Entry : nextOwnerDigest(Table, 300)) {
+      Bytes += encodedSize(Entry);
+      learnOwner(Other, Entry, Now);
+    }
+    CHECK(Bytes <= 300);
+  }
+  CHECK(Other.m_Owners.size() == 264);
+  // A new change goes first.
+  learnOwner(Table, {{"service-5", "dc-5"}, "vm-new", 2}, Now);
+  bool First = false;
+  for (const OwnerEntry &Entry : nextOwnerDigest(Table, 300))
+    First = First || Entry.m_Owner == "vm-new";
+  CHECK(First);
+}
+
+TEST_CASE("pools that are no longer wanted are forgotten") {
+  OwnerTable Table;
+  learnOwner(Table, {Boletas, "vm-1", 1}, Now);
+  learnOwner(Table, {{"caja", "arequipa"}, "vm-1", 1}, Now);
+  keepPools(Table, {Boletas});
+  CHECK(Table.m_Owners.size() == 1);
+  CHECK(Table.m_Owners.contains(Boletas));
+}
