--- a/libs/testbed/src/Callers.cpp
+++ b/libs/testbed/src/Callers.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr Duration NoTargetRetryAfter = std::chrono::seconds(1);
+
 Duration drawExponential(std::mt19937_64 &Random, double MeanNanoseconds) {
   std::exponential_distribution<double> Distribution(1.0 / MeanNanoseconds);
   return Duration(std::llround(Distribution(Random)));
@@ -124,9 +126,9 @@
 void World::tryTarget(CallId Call, std::vector<Target> Targets) {
   Duration Client = m_Layout.m_Timing.m_Client;
   if (Targets.empty()) {
-    constexpr Duration RetryAfter = std::chrono::seconds(1);
-    m_Queue.after(
-        Client, [this, Call] { close(Call, Told::NotRun, RetryAfter, false); });
+    m_Queue.after(Client, [this, Call] {
+      close(Call, Told::NotRun, NoTargetRetryAfter, false);
+    });
     return;
   }
   m_Queue.after(Client, [this, Call, Targets = std::move(Targets)] {
--- /dev/null
+++ b/tools/bench-policies/Measure.cpp
@@ -0,0 +1,139 @@
+#include "Measure.h"
+#include <algorithm>
+#include <cmath>
+
+namespace hyssopcross::bench {
+
+using namespace std::chrono_literals;
+using testbed::CallRecord;
+using testbed::Told;
+
+namespace {
+
+constexpr Duration SampleEvery = 50ms;
+constexpr size_t SamplesPerWindow = 40; // 2 s
+/// Time after the load's measured part in which calls may still end.
+constexpr Duration Tail = 1s;
+
+double toMilliseconds(Duration Length) {
+  return std::chrono::duration<double, std::milli>(Length).count();
+}
+
+double quantile(const std::vector<double> &Sorted, double Share) {
+  if (Sorted.empty())
+    return 0;
+  auto Rank = static_cast<size_t>(
+      std::ceil(Share * static_cast<double>(Sorted.size())));
+  return Sorted[std::clamp<size_t>(Rank, 1, Sorted.size()) - 1];
+}
+
+/// Work asked for, done and possible in one sample, in milliseconds.
+struct Sample {
+  double m_Asked = 0;
+  double m_Done = 0;
+  double m_Possible = 0;
+};
+
+double lowestService(const std::vector<Sample> &Samples) {
+  double Lowest = 1;
+  size_t First = static_cast<size_t>(WarmUp / SampleEvery);
+  for (size_t I = First; I + SamplesPerWindow <= Samples.size(); ++I) {
+    Sample Sum;
+    for (size_t J = I; J < I + SamplesPerWindow; ++J) {
+      Sum.m_Asked += Samples[J].m_Asked;
+      Sum.m_Done += Samples[J].m_Done;
+      Sum.m_Possible += Samples[J].m_Possible;
+    }
+    double Due = std::min(Sum.m_Asked, Sum.m_Possible);
+    if (Due > 0)
+      Lowest = std::min(Lowest, Sum.m_Done / Due);
+  }
+  return Lowest;
+}
+
+void addCalls(const testbed::Testbed &Bed, std::vector<Sample> &Samples) {
+  for (const CallRecord &Call : Bed.ledger().m_Calls) {
+    auto Asked =
+        static_cast<size_t>((Call.m_Start - Bed.start()) / SampleEvery);
+    if (Call.m_Service.empty() || Asked >= Samples.size())
+      continue;
+    double Work = toMilliseconds(Call.m_Work);
+    Samples[Asked].m_Asked += Work;
+    auto Done = static_cast<size_t>((Call.m_End - Bed.start()) / SampleEvery);
+    if (Call.m_Told == Told::Completed && Done < Samples.size())
+      Samples[Done].m_Done += Work;
+  }
+}
+
+Figures evaluate(const testbed::Testbed &Bed, Duration Length) {
+  Figures Result;
+  std::vector<double> Latencies;
+  double Calls = 0;
+  double CompletedInTime = 0;
+  for (const CallRecord &Call : Bed.ledger().m_Calls) {
+    Duration Until = Call.m_End - Bed.start();
+    if (Call.m_Told == Told::Completed && Until >= WarmUp && Until < Length)
+      ++CompletedInTime;
+    Duration Since = Call.m_Start - Bed.start();
+    if (Call.m_Service.empty() || Since < WarmUp || Since >= Length)
+      continue;
+    ++Calls;
+    if (Call.m_Told == Told::Completed)
+      Latencies.push_back(toMilliseconds(Call.m_End - Call.m_Start));
+    else if (Call.m_Told == Told::NotRun)
+      ++Result.m_NotRun;
+    else
+      ++Result.m_Unknown;
+  }
+  std::ranges::sort(Latencies);
+  Result.m_P50 = quantile(Latencies, 0.5);
+  Result.m_P99 = quantile(Latencies, 0.99);
+  Result.m_P999 = quantile(Latencies, 0.999);
+  std::chrono::duration<double> Measured = Length - WarmUp;
+  Result.m_Goodput = CompletedInTime / Measured.count();
+  Result.m_NotRun /= std::max(Calls, 1.0);
+  Result.m_Unknown /= std::max(Calls, 1.0);
+  return Result;
+}
+
+} // namespace
+
+Figures measure(const RunSpec &Spec) {
+  testbed::Layout Site =
+      testbed::siteLayout(*Spec.m_Size, Spec.m_Load, Spec.m_Seed);
+  Site.m_Deciders = Spec.m_Policy->m_Deciders;
+  Site.m_Policy.m_Choice = Spec.m_Policy->m_Choice;
+  testbed::Testbed Bed(Site);
+  addFaults(Bed, *Spec.m_Case, *Spec.m_Size, Spec.m_Seed);
+  std::vector<Sample> Samples(
+      static_cast<size_t>(Spec.m_Case->m_Length / SampleEvery));
+  Duration At{};
+  for (Sample &Sample : Samples) {
+    Sample.m_Possible =
+        Bed.warmSlots(Spec.m_Size->m_Service) * toMilliseconds(SampleEvery);
+    Bed.runUntil(At += SampleEvery);
+  }
+  Bed.runUntil(Spec.m_Case->m_Length + Tail);
+  addCalls(Bed, Samples);
+  Figures Result = evaluate(Bed, Spec.m_Case->m_Length);
+  Result.m_LowestService = lowestService(Samples);
+  return Result;
+}
+
+Figures medianOf(std::span<const Figures> Runs) {
+  auto Median = [Runs](double Figures::*Field) {
+    std::vector<double> Values;
+    for (const Figures &Run : Runs)
+      Values.push_back(Run.*Field);
+    std::ranges::sort(Values);
+    return Values[Values.size() / 2];
+  };
+  Figures Result;
+  for (double Figures::*Field :
+       {&Figures::m_P50, &Figures::m_P99, &Figures::m_P999, &Figures::m_Goodput,
+        &Figures::m_NotRun, &Figures::m_Unknown, &Figures::m_LowestService})
+    Result.*Field = Median(Field);
+  return Result;
+}
+
+} // namespace hyssopcross::bench
