--- a/libs/testbed/include/hyssopcross/testbed/Fault.h
+++ b/libs/testbed/include/hyssopcross/testbed/Fault.h
@@ -13,6 +13,8 @@
 enum class FaultKind {
   /// An entry VM or backend server is killed; it restarts after the duration.
   Kill,
+  /// An entry VM is stopped gracefully: it hands its pools over.
+  Stop,
   /// An entry VM is paused for the duration.
   Freeze,
   /// Messages from target to other are dropped for the duration.
--- a/libs/testbed/include/hyssopcross/testbed/Layout.h
+++ b/libs/testbed/include/hyssopcross/testbed/Layout.h
@@ -95,6 +95,9 @@
   Deciders m_Deciders = Deciders::Owners;
   balancing::PoolPolicy m_Policy;
   uint64_t m_Seed = 1;
+  /// Whether a second attempt of a call takes a time of its own, independent of
+  /// the first one's; otherwise every attempt takes the call's time.
+  bool m_IndependentAttempts = false;
   /// Whether entry VMs check that an answer belongs to its request. Switched
   /// off only by tests.
   bool m_ChecksAnswers = true;
--- a/libs/testbed/src/Callers.cpp
+++ b/libs/testbed/src/Callers.cpp
@@ -53,6 +53,11 @@
   });
 }
 
+Duration World::drawWork(const std::string &Service) {
+  auto Mean = static_cast<double>(service(Service).m_MeanWork.count());
+  return drawExponential(m_AttemptRandom, Mean);
+}
+
 std::vector<Target> World::ownerTargets(const LoadLayout &Load) const {
   std::vector<Target> Targets;
   auto Add = [&](const std::string &DataCentre) {
--- a/libs/testbed/src/FakeEntryActions.cpp
+++ b/libs/testbed/src/FakeEntryActions.cpp
@@ -28,8 +28,10 @@
   CallRecord &Call = m_World.m_Ledger.m_Calls[Action.m_Call];
   TimePoint Deadline = Call.m_Deadline;
   auto Open = m_World.m_Open.find(Action.m_Call);
-  if (Open != m_World.m_Open.end())
-    ++Open->second.m_Attempts;
+  Duration Work = Call.m_Work;
+  if (Open != m_World.m_Open.end() && Open->second.m_Attempts++ > 0 &&
+      m_World.m_Layout.m_IndependentAttempts)
+    Work = m_World.drawWork(Call.m_Service);
   RequestId Id = ++m_World.m_LastRequest;
   const PoolId &PoolName = Pool.m_State.m_Id;
   Pool.m_Attempts[Action.m_Attempt] = {
@@ -49,7 +51,7 @@
   FakeServer &Server = m_World.server(Action.m_Server);
   auto Delay = m_World.m_Network.delay(party(), m_World.party(Server));
   if (Delay)
-    m_World.sendRequest(Id, {Id, Action.m_Call, Call.m_Work, Deadline},
+    m_World.sendRequest(Id, {Id, Action.m_Call, Work, Deadline},
                         *Delay + Connect);
   constexpr Duration Grace = std::chrono::milliseconds(5);
   m_World.m_Queue.at(Deadline + Grace,
--- a/libs/testbed/src/Fault.cpp
+++ b/libs/testbed/src/Fault.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::array Words = {
     FaultWord{FaultKind::Kill, "kill", TargetKind::Party, ""},
+    FaultWord{FaultKind::Stop, "stop", TargetKind::Entry, ""},
     FaultWord{FaultKind::Freeze, "freeze", TargetKind::Entry, ""},
     FaultWord{FaultKind::Cut, "cut", TargetKind::Party, ""},
     FaultWord{FaultKind::Delay, "delay", TargetKind::Party, "by_ms"},
--- a/libs/testbed/src/FaultHost.cpp
+++ b/libs/testbed/src/FaultHost.cpp
@@ -50,6 +50,8 @@
   FakeEntry &Entry = *m_Entries[Index];
   if (!Entry.isLive())
     return;
+  if (Fault.m_Kind == FaultKind::Stop)
+    return stopEntry(Index);
   loseEntry(Index);
   if (Fault.m_Kind == FaultKind::Freeze) {
     Entry.freeze();
@@ -76,7 +78,7 @@
       bool All = m_Layout.m_Deciders == Deciders::Everyone;
       PoolId Pool{Service.m_Entry.m_Name,
                   All ? "all" : Entry.layout().m_DataCentre};
-      startPool(Index, Pool, {trueDigest(Pool), m_Queue.now()});
+      startPool(Index, Pool, {trueDigest(Pool), m_Queue.now(), true});
     }
   });
 }
--- a/libs/testbed/src/Owners.cpp
+++ b/libs/testbed/src/Owners.cpp
@@ -10,22 +10,6 @@
 constexpr Duration TakeOverRetry = std::chrono::milliseconds(500);
 constexpr Duration StoreRoundTrip = std::chrono::milliseconds(5);
 
-std::vector<ServerDigest> digestOf(const PoolState &State) {
-  std::vector<ServerDigest> Digest;
-  for (const auto &[Id, Server] : State.m_Servers) {
-    ServerDigest Known;
-    Known.m_Server = Id;
-    Known.m_Leaving = Server.m_Leaving;
-    Known.m_InFlight = Server.m_InFlight;
-    Known.m_Limit = State.m_Entry.m_Limits.m_Slots;
-    Known.m_Warm = true;
-    if (Server.m_Report)
-      Known.m_BootId = Server.m_Report->m_BootId;
-    Digest.push_back(Known);
-  }
-  return Digest;
-}
-
 } // namespace
 
 std::vector<ServerDigest> World::trueDigest(const PoolId &Pool) const {
@@ -56,12 +40,13 @@
       PoolId Pool{Name, DataCentre};
       if (Owners && !listServers(Pool).empty()) {
         m_Owners[Pool] = successor(Pool).value_or(0);
-        startPool(m_Owners[Pool], Pool, {trueDigest(Pool), m_Queue.now()});
+        startPool(m_Owners[Pool], Pool,
+                  {trueDigest(Pool), m_Queue.now(), true});
       }
     }
     for (size_t I = 0; !Owners && I < m_Entries.size(); ++I) {
       PoolId Pool{Name, All ? "all" : m_Entries[I]->layout().m_DataCentre};
-      startPool(I, Pool, {trueDigest(Pool), m_Queue.now()});
+      startPool(I, Pool, {trueDigest(Pool), m_Queue.now(), true});
     }
   }
   if (Owners)
@@ -77,6 +62,7 @@
   Entry.deliver(Pool,
                 EntryChanged{entryFor(Pool.m_Service), isInService(Pool)});
   Entry.deliver(Pool, ServersListed{listServers(Pool)});
+  Entry.deliver(Pool, PeersListed{peersOf(Pool)});
   Entry.deliver(Pool, LeaseChanged{true});
   Entry.deliver(Pool, std::move(TookOver));
 }
@@ -104,7 +90,7 @@
   std::optional<size_t> Best;
   bool BestIsNear = false;
   for (size_t I = 0; I < m_Entries.size(); ++I) {
-    if (!m_Entries[I]->isLive())
+    if (!m_Entries[I]->isLive() || m_KnownLost.contains(I))
       continue;
     bool Near = m_Entries[I]->layout().m_DataCentre == Pool.m_DataCentre;
     bool Better = !Best || (Near && !BestIsNear) ||
@@ -117,6 +103,14 @@
   return Best;
 }
 
+std::vector<PoolId> World::peersOf(const PoolId &Pool) const {
+  std::vector<PoolId> Peers = poolsOf(Pool.m_Service);
+  std::erase_if(Peers, [this, &Pool](const PoolId &Known) {
+    return Known == Pool || !isInService(Known);
+  });
+  return Peers;
+}
+
 void World::loseEntry(size_t Entry) {
   uint64_t Change = ++m_EntryChanges[Entry];
   TimePoint LostAt = m_Queue.now();
@@ -149,11 +143,32 @@
                   [this, Pool, Lost, LostAt] { takeOver(Pool, Lost, LostAt); });
     return;
   }
+  m_Owners[Pool] = *Next;
+  startPool(*Next, Pool, {m_Digests[Pool], LostAt + longestTimeout(), false});
+}
+
+void World::stopEntry(size_t Index) {
+  m_KnownLost.insert(Index);
+  FakeEntry &Entry = *m_Entries[Index];
+  for (auto &[Pool, Owner] : m_Owners) {
+    std::optional<size_t> Next = successor(Pool);
+    HostedPool *Hosted = Entry.find(Pool);
+    if (Owner != Index || !Next || !Hosted)
+      continue;
+    Owner = *Next;
+    Hosted->m_Deposed = true;
+    Duration Longest = longestTimeout();
+    startPool(*Next, Pool,
+              {digest(Hosted->m_State), m_Queue.now() + Longest, true});
+    Entry.deliver(Pool, Released{});
+  }
+}
+
+Duration World::longestTimeout() const {
   Duration Longest{};
   for (const LoadLayout &Load : m_Layout.m_Loads)
     Longest = std::max(Longest, Load.m_Timeout);
-  m_Owners[Pool] = *Next;
-  startPool(*Next, Pool, {m_Digests[Pool], LostAt + Longest});
+  return Longest;
 }
 
 void World::reviveEntry(size_t Index) {
@@ -179,7 +194,7 @@
     FakeEntry &Entry = *m_Entries[Owner];
     HostedPool *Hosted = Entry.find(Pool);
     if (Hosted && Entry.isLive())
-      m_Digests[Pool] = digestOf(Hosted->m_State);
+      m_Digests[Pool] = digest(Hosted->m_State);
   }
   m_Queue.after(m_Layout.m_Timing.m_DigestEvery, [this] { sendDigests(); });
 }
@@ -192,8 +207,10 @@
 
 void World::announceEntries() {
   for (auto &Entry : m_Entries)
-    for (const auto &[Id, Pool] : Entry->pools())
+    for (const auto &[Id, Pool] : Entry->pools()) {
       Entry->deliver(Id, EntryChanged{entryFor(Id.m_Service), isInService(Id)});
+      Entry->deliver(Id, PeersListed{peersOf(Id)});
+    }
 }
 
 void World::setStoreUp(bool Up) {
--- a/libs/testbed/src/World.cpp
+++ b/libs/testbed/src/World.cpp
@@ -7,7 +7,8 @@
 using namespace balancing;
 
 World::World(Layout Layout)
-    : m_Layout(std::move(Layout)), m_Network(m_Layout.m_Timing) {
+    : m_Layout(std::move(Layout)), m_Network(m_Layout.m_Timing),
+      m_AttemptRandom(m_Layout.m_Seed) {
   for (const ServerLayout &Known : m_Layout.m_Servers)
     m_Servers[Known.m_Name] = std::make_unique<FakeServer>(
         Known, service(Known.m_Service), m_Queue, m_Ledger,
--- a/libs/testbed/src/World.h
+++ b/libs/testbed/src/World.h
@@ -77,6 +77,7 @@
                 Duration RetryAfter, bool Mismatched);
   void close(balancing::CallId Call, Told Told, Duration RetryAfter,
              bool Mismatched);
+  Duration drawWork(const std::string &Service);
   std::vector<Target> ownerTargets(const LoadLayout &Load) const;
   std::vector<Target> everyTarget(const LoadLayout &Load) const;
   std::vector<Target> targetsFor(Callers &Callers);
@@ -90,6 +91,9 @@
   bool isInService(const balancing::PoolId &Pool) const;
   std::optional<size_t> ownerOf(const balancing::PoolId &Pool) const;
   std::vector<balancing::PoolId> poolsOf(const std::string &Service) const;
+  std::vector<balancing::PoolId> peersOf(const balancing::PoolId &Pool) const;
+  void stopEntry(size_t Entry);
+  Duration longestTimeout() const;
   void loseEntry(size_t Entry);
   void takeOver(const balancing::PoolId &Pool, size_t Lost, TimePoint LostAt);
   std::optional<size_t> successor(const balancing::PoolId &Pool) const;
@@ -122,6 +126,8 @@
   std::map<balancing::PoolId, std::vector<balancing::ServerDigest>> m_Digests;
   std::map<balancing::CallId, OpenCall> m_Open;
   std::map<RequestId, Route> m_Routes;
+  /// For the work of attempts after the first.
+  std::mt19937_64 m_AttemptRandom;
   RequestId m_LastRequest = 0;
   uint64_t m_LastWake = 0;
   std::set<std::string> m_DataCentresOut;
--- a/tools/bench-policies/Cases.h
+++ b/tools/bench-policies/Cases.h
@@ -8,7 +8,14 @@
 namespace hyssopcross::bench {
 
 /// What happens during a run.
-enum class CaseKind { Steady, SlowedServers, DataCentreOut, OwnerLost };
+enum class CaseKind {
+  Steady,
+  SlowedServers,
+  /// As SlowedServers, and a second attempt takes a time of its own.
+  SlowedIndependent,
+  DataCentreOut,
+  OwnerLost,
+};
 
 /// A case and how long it runs.
 struct Case {
--- a/tools/bench-policies/Measure.cpp
+++ b/tools/bench-policies/Measure.cpp
@@ -15,6 +15,10 @@
 /// Time after the load's measured part in which calls may still end.
 constexpr Duration Tail = 1s;
 
+/// From a caller to a server of the nearest data centre and back.
+constexpr Duration FixedDelay =
+    2 * (testbed::Timing().m_Client + testbed::Timing().m_Local);
+
 double toMilliseconds(Duration Length) {
   return std::chrono::duration<double, std::milli>(Length).count();
 }
@@ -68,6 +72,7 @@
 Figures evaluate(const testbed::Testbed &Bed, Duration Length) {
   Figures Result;
   std::vector<double> Latencies;
+  std::vector<double> Alone;
   double Calls = 0;
   double CompletedInTime = 0;
   for (const CallRecord &Call : Bed.ledger().m_Calls) {
@@ -78,6 +83,7 @@
     if (Call.m_Service.empty() || Since < WarmUp || Since >= Length)
       continue;
     ++Calls;
+    Alone.push_back(toMilliseconds(Call.m_Work + FixedDelay));
     if (Call.m_Told == Told::Completed)
       Latencies.push_back(toMilliseconds(Call.m_End - Call.m_Start));
     else if (Call.m_Told == Told::NotRun)
@@ -86,6 +92,8 @@
       ++Result.m_Unknown;
   }
   std::ranges::sort(Latencies);
+  std::ranges::sort(Alone);
+  Result.m_AloneP99 = quantile(Alone, 0.99);
   Result.m_P50 = quantile(Latencies, 0.5);
   Result.m_P99 = quantile(Latencies, 0.99);
   Result.m_P999 = quantile(Latencies, 0.999);
@@ -102,6 +110,8 @@
   testbed::Layout Site =
       testbed::siteLayout(*Spec.m_Size, Spec.m_Load, Spec.m_Seed);
   Site.m_Deciders = Spec.m_Policy->m_Deciders;
+  Site.m_IndependentAttempts =
+      Spec.m_Case->m_Kind == CaseKind::SlowedIndependent;
   Site.m_Policy.m_Choice = Spec.m_Policy->m_Choice;
   testbed::Testbed Bed(Site);
   addFaults(Bed, *Spec.m_Case, *Spec.m_Size, Spec.m_Seed);
@@ -130,8 +140,9 @@
   };
   Figures Result;
   for (double Figures::*Field :
-       {&Figures::m_P50, &Figures::m_P99, &Figures::m_P999, &Figures::m_Goodput,
-        &Figures::m_NotRun, &Figures::m_Unknown, &Figures::m_LowestService})
+       {&Figures::m_P50, &Figures::m_P99, &Figures::m_P999,
+        &Figures::m_AloneP99, &Figures::m_Goodput, &Figures::m_NotRun,
+        &Figures::m_Unknown, &Figures::m_LowestService})
     Result.*Field = Median(Field);
   return Result;
 }
--- a/tools/bench-policies/Measure.h
+++ b/tools/bench-policies/Measure.h
@@ -11,6 +11,8 @@
   double m_P50 = 0;
   double m_P99 = 0;
   double m_P999 = 0;
+  /// The p99 that calls would have alone at servers of full speed.
+  double m_AloneP99 = 0;
   /// Completed calls per second.
   double m_Goodput = 0;
   /// Shares of all calls.
