--- a/libs/balancing/include/hyssopcross/balancing/Events.h
+++ b/libs/balancing/include/hyssopcross/balancing/Events.h
@@ -3,10 +3,10 @@
 
 #include "hyssopcross/base/Clock.h"
 #include "hyssopcross/catalogue/Types.h"
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -25,7 +25,11 @@
   std::string m_Service;
   std::string m_DataCentre;
 
-  friend auto operator<=>(const PoolId &, const PoolId &) = default;
+  friend bool operator==(const PoolId &, const PoolId &) = default;
+  friend bool operator<(const PoolId &A, const PoolId &B) {
+    return std::tie(A.m_Service, A.m_DataCentre) <
+           std::tie(B.m_Service, B.m_DataCentre);
+  }
 };
 
 /// Identifies a backend server by its address, host:port.
--- a/libs/balancing/include/hyssopcross/balancing/Policy.h
+++ b/libs/balancing/include/hyssopcross/balancing/Policy.h
@@ -86,13 +86,14 @@
 
   /// Requests in flight that a cold server can bear.
   uint32_t m_ColdAllowance = 1;
+  /// Completions that one step of a cold server's ramp takes.
+  uint32_t m_ColdCompletions = 5;
+  /// Least time of one step of a cold server's ramp.
+  Duration m_ColdStep = std::chrono::milliseconds(500);
   /// Time between two sends to a cold server, divided by its limit.
   Duration m_ColdSpacing = std::chrono::milliseconds(20);
   /// Time between two sends to a cold server while a warm one has a slot free.
   Duration m_ColdExploreSpacing = std::chrono::milliseconds(100);
-  /// Completions and least time of one step of a cold server's ramp.
-  uint32_t m_ColdCompletions = 5;
-  Duration m_ColdStep = std::chrono::milliseconds(500);
   /// Completions and least time of one step back after a shed or jump.
   uint32_t m_SuspectCompletions = 2;
   Duration m_SuspectStep = std::chrono::milliseconds(50);
@@ -137,6 +138,8 @@
   Duration m_OfferLife = std::chrono::milliseconds(10);
   /// Slots in one offer.
   uint32_t m_MaxOffer = 4;
+  /// Connections kept open beyond the slots of a warm server.
+  uint32_t m_SpareConnections = 1;
 
   /// A server that reported within this time is not probed.
   Duration m_ReportFreshness = std::chrono::seconds(1);
@@ -144,15 +147,13 @@
   /// an unconfirmed one uses half of it. Up to 2/3, one of each together stay
   /// within the whole.
   double m_OwnerShare = 2.0 / 3.0;
-  /// Connections kept open beyond the slots of a warm server.
-  uint32_t m_SpareConnections = 1;
 
   /// Probes that ProbePool starts for each call, within the budget.
   uint32_t m_ProbesPerCall = 2;
-  /// Probes that ProbePool remembers, for how long and for how many calls.
+  /// Probes that ProbePool remembers, for how many calls and for how long.
   uint32_t m_ProbePoolSize = 16;
-  Duration m_ProbePoolAge = std::chrono::seconds(1);
   uint32_t m_ProbePoolUses = 3;
+  Duration m_ProbePoolAge = std::chrono::seconds(1);
   /// A server is hot if its load is above this quantile of the pool's probes.
   double m_ProbePoolHot = 0.84;
 
--- a/libs/balancing/include/hyssopcross/balancing/State.h
+++ b/libs/balancing/include/hyssopcross/balancing/State.h
@@ -97,7 +97,9 @@
   TimePoint m_At;
   uint64_t m_Id = 0;
 
-  friend auto operator<=>(const Timer &, const Timer &) = default;
+  friend bool operator<(const Timer &A, const Timer &B) {
+    return std::tie(A.m_At, A.m_Id) < std::tie(B.m_At, B.m_Id);
+  }
 };
 
 /// Queued calls by share key, and their deadlines.
--- a/libs/balancing/src/Dispatch.cpp
+++ b/libs/balancing/src/Dispatch.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// When to look again at something that is due and could not be done.
+constexpr Duration OverdueWake = std::chrono::milliseconds(1);
+
 void refuseQueue(Context &Step, RefusalReason Reason) {
   for (CallId Call : oldestFirst(Step.m_State))
     refuseCall(Step, Call, Reason);
@@ -85,7 +88,7 @@
   std::optional<TimePoint> Next = nextDue(State);
   if (!Next)
     return;
-  TimePoint Time = std::max(*Next, Step.m_Now + Duration(1));
+  TimePoint Time = *Next > Step.m_Now ? *Next : Step.m_Now + OverdueWake;
   bool Pending = State.m_WakeAt && *State.m_WakeAt > Step.m_Now;
   if (Pending && *State.m_WakeAt <= Time)
     return;
--- a/libs/balancing/src/Latency.cpp
+++ b/libs/balancing/src/Latency.cpp
@@ -25,7 +25,7 @@
   auto Units = static_cast<uint64_t>(Latency.count()) >> UnitBits;
   if (Units < 4)
     return Units;
-  auto Octave = static_cast<unsigned>(std::bit_width(Units)) - 1;
+  auto Octave = static_cast<size_t>(std::bit_width(Units)) - 1;
   size_t Index = (Octave - 1) * 4 + ((Units >> (Octave - 2)) & 3U);
   return std::min(Index, Buckets - 1);
 }
--- a/libs/balancing/src/Queue.cpp
+++ b/libs/balancing/src/Queue.cpp
@@ -56,14 +56,15 @@
 }
 
 CallId newestOfLongest(const PoolState &State) {
-  const std::deque<CallId> *Longest = nullptr;
-  auto queuedAt = [&State](const std::deque<CallId> &Line) {
+  const auto &Shares = State.m_Queue.m_Shares;
+  const std::deque<CallId> *Longest = &Shares.begin()->second;
+  auto NewestAt = [&State](const std::deque<CallId> &Line) {
     return State.m_Calls.at(Line.back()).m_QueuedAt;
   };
   for (const auto &[Share, Line] : State.m_Queue.m_Shares) {
     bool Longer =
         !Longest || Line.size() > Longest->size() ||
-        (Line.size() == Longest->size() && queuedAt(Line) > queuedAt(*Longest));
+        (Line.size() == Longest->size() && NewestAt(Line) > NewestAt(*Longest));
     if (Longer)
       Longest = &Line;
   }
--- a/libs/balancing/src/Spill.cpp
+++ b/libs/balancing/src/Spill.cpp
@@ -166,12 +166,11 @@
   if (Since < Policy.m_AnnounceInterval)
     return;
   bool Empty = Step.m_State.m_Queue.size() == 0;
-  if (Spill.m_Announced && Empty)
-    tell(Step, false);
-  else if (Spill.m_Announced && Since >= Policy.m_AnnounceRefresh)
-    tell(Step, true);
-  else if (!Spill.m_Announced && isLong(Step))
-    tell(Step, true);
+  bool Ended = Spill.m_Announced && Empty;
+  bool Started = !Spill.m_Announced && isLong(Step);
+  bool Repeat = Spill.m_Announced && Since >= Policy.m_AnnounceRefresh;
+  if (Ended || Started || Repeat)
+    tell(Step, !Ended);
 }
 
 void offerSlots(Context &Step) {
