--- a/libs/balancing/include/hyssopcross/balancing/State.h
+++ b/libs/balancing/include/hyssopcross/balancing/State.h
@@ -50,6 +50,7 @@
   Duration m_RecentLatency{};
   Duration m_UsualLatency{};
   TimePoint m_LatencyAt;
+  uint32_t m_LatencySamples = 0;
 
   std::optional<LoadReport> m_Report;
   TimePoint m_ReportedAt;
--- a/libs/balancing/src/Latency.cpp
+++ b/libs/balancing/src/Latency.cpp
@@ -7,8 +7,10 @@
 namespace {
 
 constexpr double RecentWeight = 0.3;
-constexpr double UsualWeight = 0.03;
+constexpr double UsualWeight = 0.01;
 constexpr double MeanWeight = 0.02;
+/// Latencies of a server that must be known before one counts as a jump.
+constexpr uint32_t MinJumpSamples = 8;
 /// Buckets start at 4 units of 2^12 ns, and each octave has four.
 constexpr unsigned UnitBits = 12;
 /// Samples at which all buckets are halved, so that old ones fade.
@@ -55,7 +57,10 @@
 void recordLatency(Context &Step, ServerState &Server, Duration Latency) {
   Latency = std::max(Latency, Duration(1));
   Server.m_RecentLatency = blend(Server.m_RecentLatency, Latency, RecentWeight);
-  Server.m_UsualLatency = blend(Server.m_UsualLatency, Latency, UsualWeight);
+  ++Server.m_LatencySamples;
+  bool Known = Server.m_LatencySamples > MinJumpSamples;
+  double Weight = Known ? UsualWeight : 1.0 / Server.m_LatencySamples;
+  Server.m_UsualLatency = blend(Server.m_UsualLatency, Latency, Weight);
   Server.m_LatencyAt = Step.m_Now;
   LatencyState &Pool = Step.m_State.m_Latency;
   Pool.m_Mean = blend(Pool.m_Mean, Latency, MeanWeight);
@@ -75,7 +80,8 @@
 
 bool isSlow(const PoolPolicy &Policy, const ServerState &Server,
             Duration Latency) {
-  return Latency > Policy.m_JumpFloor &&
+  return Server.m_LatencySamples >= MinJumpSamples &&
+         Latency > Policy.m_JumpFloor &&
          Latency > scale(Server.m_UsualLatency, Policy.m_JumpFactor);
 }
 
--- a/libs/balancing/src/Servers.cpp
+++ b/libs/balancing/src/Servers.cpp
@@ -23,6 +23,7 @@
   Server.m_Leaving = Server.m_ListedLeaving;
   Server.m_RecentLatency = Duration::zero();
   Server.m_UsualLatency = Duration::zero();
+  Server.m_LatencySamples = 0;
   Server.m_AssumedInFlight = 0;
   Server.m_Failures = 0;
   ++Step.m_State.m_Counters.m_Drops;
