--- a/libs/balancing/include/hyssopcross/balancing/State.h
+++ b/libs/balancing/include/hyssopcross/balancing/State.h
@@ -26,43 +26,42 @@
   ServerStage m_Stage = ServerStage::Cold;
   /// Requests that may be in flight, between the cold allowance and the slots.
   uint32_t m_Limit = 1;
-  /// Attempts of this owner that have not ended, oldest first.
-  std::vector<AttemptId> m_Running;
   /// Slots that the predecessor may have left in flight.
   uint32_t m_AssumedInFlight = 0;
-
   /// Good completions and failures in a row since the limit last changed.
   uint32_t m_StepCompletions = 0;
   uint32_t m_Failures = 0;
+  /// Latencies that this process of the server is known by.
+  uint32_t m_LatencySamples = 0;
+  /// Attempts of this owner that have not ended, oldest first.
+  std::vector<AttemptId> m_Running;
+  /// When the limit last changed.
   TimePoint m_StepSince;
   std::optional<TimePoint> m_LastSend;
 
+  /// Recent and usual latency, zero if unknown.
+  Duration m_RecentLatency{};
+  Duration m_UsualLatency{};
+  TimePoint m_LatencyAt;
+
   /// In the platform's list, and what the list last said.
   bool m_Listed = true;
   bool m_ListedLeaving = false;
-  TimePoint m_UnlistedSince;
   /// Leaves or drains; holds for as long as the boot identity does.
   bool m_Leaving = false;
+  bool m_ProbeRunning = false;
+  uint32_t m_KeptConnections = 0;
+  std::optional<uint32_t> m_OpenConnections;
+  TimePoint m_UnlistedSince;
   std::string m_BootId;
   std::string m_PreviousBootId;
 
-  /// Recent and usual latency, zero if unknown.
-  Duration m_RecentLatency{};
-  Duration m_UsualLatency{};
-  TimePoint m_LatencyAt;
-  uint32_t m_LatencySamples = 0;
-
   std::optional<LoadReport> m_Report;
   TimePoint m_ReportedAt;
-
-  bool m_ProbeRunning = false;
   /// The last probe, or the instant from which the budget counts.
   TimePoint m_ProbedAt;
   std::optional<TimePoint> m_LastProbe;
 
-  std::optional<uint32_t> m_OpenConnections;
-  uint32_t m_KeptConnections = 0;
-
   uint32_t inFlight() const { return static_cast<uint32_t>(m_Running.size()); }
 };
 
