--- a/libs/entry/src/WireOwnership.cpp
+++ b/libs/entry/src/WireOwnership.cpp
@@ -74,6 +74,7 @@
   void operator()(const ownership::PromiseAnswer &Message) const {
     wire::PromiseAnswer Wire;
     Wire.sender = Message.m_From;
+    Wire.incarnation = static_cast<int64_t>(Message.m_Incarnation);
     Wire.round = static_cast<int64_t>(Message.m_Round);
     Wire.granted = writeEpochs(Message.m_Granted);
     m_Wire.__set_promiseAnswer(Wire);
@@ -135,7 +136,8 @@
   if (Message.__isset.promiseAnswer) {
     const wire::PromiseAnswer &Wire = Message.promiseAnswer;
     return ownership::Message(ownership::PromiseAnswer{
-        Wire.sender, Unsigned(Wire.round), readEpochs(Wire.granted)});
+        Wire.sender, Unsigned(Wire.incarnation), Unsigned(Wire.round),
+        readEpochs(Wire.granted)});
   }
   if (Message.__isset.offer) {
     const wire::HandOverOffer &Wire = Message.offer;
--- a/libs/peer/peer.thrift
+++ b/libs/peer/peer.thrift
@@ -138,8 +138,9 @@
 
 struct PromiseAnswer {
   1: string sender,
-  2: i64 round,
-  3: list<PoolEpoch> granted,
+  2: i64 incarnation,
+  3: i64 round,
+  4: list<PoolEpoch> granted,
 }
 
 struct HandOverOffer {
