Run uploads and the upkeep of records in the daemon

Cause: an upload was passed on like a lookup; nothing checked what the backend server stored, and nothing held it when no server took it. A stop ends threads before what they use. Ruled out: handing money and uploads over to another pool's owner, because the record stays with the VM that wrote it.

--- a/libs/entry/include/hyssopcross/entry/Node.h
+++ b/libs/entry/include/hyssopcross/entry/Node.h
@@ -37,6 +37,9 @@
   addresses::AddressPolicy m_Addresses;
   addresses::Distances m_Distances;
   claims::ClaimPolicy m_Claims;
+  uploads::UploadPolicy m_Uploads;
+  /// Memory for the bodies of requests in progress, in bytes.
+  uint64_t m_BodyBudget = 64U << 20U;
 };
 
 /// An entry VM. Built, started, stopped and destroyed by one thread.
@@ -57,6 +60,9 @@
 private:
   struct Parts;
 
+  /// Takes on, or gives up, the upkeep of the records of services.
+  void assignUpkeep();
+
   NodeSettings m_Settings;
   SystemClock m_Clock;
   std::unique_ptr<Parts> m_Parts;
--- a/libs/entry/include/hyssopcross/entry/Pools.h
+++ b/libs/entry/include/hyssopcross/entry/Pools.h
@@ -43,6 +43,10 @@
   /// Connections to backend servers, shared by all pools.
   backend::Connections &connections() { return m_Connections; }
 
+  /// Ends the threads; no call may run any more. Call before what the outside
+  /// functions use ends.
+  void end();
+
   LeaseStanding standing(const balancing::PoolId &Pool) override;
   void wakeAt(const balancing::PoolId &Pool, TimePoint Time) override;
   void announceQueueing(const balancing::PoolId &Pool, bool Queueing) override;
@@ -57,9 +61,8 @@
   backend::Connections m_Connections;
   mutable std::shared_mutex m_Mutex;
   std::map<balancing::PoolId, std::shared_ptr<PoolHost>> m_Pools;
-  // Last, so that the threads end before what they use.
-  Workers m_Helpers;
-  Loop m_Timers;
+  std::unique_ptr<Workers> m_Helpers;
+  std::unique_ptr<Loop> m_Timers;
 };
 
 } // namespace hyssopcross::entry
--- a/libs/entry/include/hyssopcross/entry/Router.h
+++ b/libs/entry/include/hyssopcross/entry/Router.h
@@ -4,6 +4,7 @@
 #include "hyssopcross/entry/Call.h"
 #include "hyssopcross/entry/ClaimsHost.h"
 #include "hyssopcross/entry/Control.h"
+#include "hyssopcross/entry/UploadsHost.h"
 #include "hyssopcross/trace/Tracer.h"
 
 namespace hyssopcross::entry {
@@ -14,6 +15,7 @@
   Control &m_Control;
   Pools &m_Pools;
   ClaimsHost &m_Claims;
+  UploadsHost &m_Uploads;
   peer::PeerClients &m_Peers;
   trace::Tracer &m_Tracer;
 };
@@ -31,6 +33,12 @@
   CallerAnswer serveForwarded(const IncomingCall &Call,
                               const balancing::PoolId &Pool);
 
+  /// Tells what became of an upload that was held.
+  CallerAnswer receipt(const std::string &Service, const std::string &Key);
+
+  /// Sends a held upload to a backend server of a pool that this VM owns.
+  CallResult deliver(const uploads::DeliverUpload &Held);
+
 private:
   CallerAnswer route(const IncomingCall &Call, const balancing::PoolId &Pool,
                      std::shared_ptr<const addresses::RoutingView> View);
@@ -41,6 +49,8 @@
                        const catalogue::ServiceEntry &Entry, PoolHost &Host);
   CallerAnswer runMoney(const IncomingCall &Call, PoolHost &Host,
                         const CallRequest &Request);
+  CallerAnswer runUpload(const IncomingCall &Call, PoolHost &Host,
+                         const CallRequest &Request);
   CallerAnswer answerResult(const IncomingCall &Call, CallResult Result);
   CallerAnswer handOver(const IncomingCall &Call,
                         const balancing::PoolId &Pool);
--- a/libs/entry/src/CallerFront.cpp
+++ b/libs/entry/src/CallerFront.cpp
@@ -9,9 +9,41 @@
 
 namespace {
 
+/// When to come back while bodies take up the memory.
+constexpr Duration NoMemoryRetryAfter = std::chrono::milliseconds(300);
+
+/// A part of the budget for bodies, for the life of the object.
+class BodyReservation {
+public:
+  BodyReservation(std::mutex &Mutex, uploads::BodyBudget &Budget,
+                  uint64_t Bytes)
+      : m_Mutex(Mutex), m_Budget(Budget), m_Bytes(Bytes) {
+    std::lock_guard Lock(m_Mutex);
+    m_Granted = uploads::reserve(m_Budget, m_Bytes);
+  }
+  ~BodyReservation() {
+    if (!m_Granted)
+      return;
+    std::lock_guard Lock(m_Mutex);
+    uploads::release(m_Budget, m_Bytes);
+  }
+  BodyReservation(const BodyReservation &) = delete;
+  BodyReservation &operator=(const BodyReservation &) = delete;
+
+  bool granted() const { return m_Granted; }
+
+private:
+  std::mutex &m_Mutex;
+  uploads::BodyBudget &m_Budget;
+  uint64_t m_Bytes;
+  bool m_Granted = false;
+};
+
 /// Time allowed for a request of a service that the catalogue does not name.
 constexpr Duration FallbackTimeout = std::chrono::seconds(2);
 
+constexpr std::string_view ReceiptPrefix = "/uploads/";
+
 Duration defaultTimeout(const addresses::RoutingView &View,
                         std::string_view Path) {
   Path.remove_prefix(std::min<size_t>(Path.size(), sizeof("/call/") - 1));
@@ -42,9 +74,11 @@
 
 CallerFront::CallerFront(const Clock &Time, Control &Routing, Router &Calls,
                          trace::Tracer &Tracer, Metrics &Figures,
-                         std::string VmName, uint64_t Seed)
+                         std::string VmName, uint64_t Seed, uint64_t BodyBytes)
     : m_Clock(Time), m_Control(Routing), m_Router(Calls), m_Tracer(Tracer),
-      m_Metrics(Figures), m_VmName(std::move(VmName)), m_Random(Seed) {}
+      m_Metrics(Figures), m_VmName(std::move(VmName)), m_Random(Seed) {
+  m_Bodies.m_Limit = BodyBytes;
+}
 
 web::HttpAnswer CallerFront::handle(const web::HttpRequest &Request) {
   std::string CorrelationId(
@@ -71,8 +105,20 @@
     return answerAddresses(Request);
   if (Path.starts_with("/call/"))
     return answerCall(Request, CorrelationId);
+  if (Path.starts_with(ReceiptPrefix))
+    return answerReceipt(Path.substr(ReceiptPrefix.size()));
   return originatedAnswer(404, Outcome::NotRun, "unknown-path",
-                          "The paths are /addresses and /call/SERVICE/...");
+                          "The paths are /addresses, /call/SERVICE/... and "
+                          "/uploads/SERVICE/KEY.");
+}
+
+CallerAnswer CallerFront::answerReceipt(std::string_view Rest) {
+  size_t Slash = Rest.find('/');
+  if (Slash == std::string_view::npos || Slash + 1 == Rest.size())
+    return originatedAnswer(400, Outcome::NotRun, "malformed-request",
+                            "The path must be /uploads/SERVICE/KEY.");
+  return m_Router.receipt(std::string(Rest.substr(0, Slash)),
+                          std::string(Rest.substr(Slash + 1)));
 }
 
 CallerAnswer CallerFront::answerAddresses(const web::HttpRequest &Request) {
@@ -106,6 +152,11 @@
                             Call.error().m_Message);
   IncomingCall &Incoming = Call.value();
   Incoming.m_CorrelationId = CorrelationId;
+  BodyReservation Reserved(m_Mutex, m_Bodies, Request.m_Body.size());
+  if (!Reserved.granted())
+    return refusedAnswer(503, "no-memory",
+                         "The bodies of other requests take up the memory.",
+                         NoMemoryRetryAfter);
   trace::HopSpan Span = m_Tracer.start("entry", Incoming.m_TraceParent);
   Span.tag("request_id", CorrelationId);
   Span.tag("service", Incoming.m_Service);
--- a/libs/entry/src/Node.cpp
+++ b/libs/entry/src/Node.cpp
@@ -10,6 +10,9 @@
 /// Pause between two looks at whether a stop is done.
 constexpr Duration StopPoll = std::chrono::milliseconds(20);
 
+/// Pause between two looks at which services' records this VM looks after.
+constexpr Duration UpkeepPause = std::chrono::seconds(2);
+
 uint64_t incarnation(const Clock &Time) {
   return static_cast<uint64_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(
@@ -62,9 +65,15 @@
                    *m_PeerThreads, m_Pools}),
         m_Claims(processName(Settings, Time), Settings.m_Claims,
                  Settings.m_Seed, Time, m_Store, *m_Timers),
-        m_Router({Time, m_Control, m_Pools, m_Claims, m_Peers, m_Tracer}),
+        m_Uploads(processName(Settings, Time), Settings.m_Uploads,
+                  Settings.m_Seed, Time, m_Store, *m_Timers,
+                  [this](const uploads::DeliverUpload &Held) {
+                    return m_Router.deliver(Held);
+                  }),
+        m_Router(
+            {Time, m_Control, m_Pools, m_Claims, m_Uploads, m_Peers, m_Tracer}),
         m_Front(Time, m_Control, m_Router, m_Tracer, m_Metrics, Settings.m_Name,
-                Settings.m_Seed),
+                Settings.m_Seed, Settings.m_BodyBudget),
         m_OperatorFront(Time, *m_Table, m_Control, m_Pools, m_Claims,
                         m_Metrics) {}
 
@@ -75,6 +84,8 @@
     m_PeerServer.reset();
     m_StoreThreads.reset();
     m_PeerThreads.reset();
+    m_Uploads.end();
+    m_Pools.end();
     m_Control.end();
     m_Timers.reset();
   }
@@ -105,6 +116,7 @@
   Pools m_Pools;
   Control m_Control;
   ClaimsHost m_Claims;
+  UploadsHost m_Uploads;
   Router m_Router;
   CallerFront m_Front;
   OperatorFront m_OperatorFront;
@@ -136,6 +148,7 @@
     return fail(Operators.error().m_Code, Operators.error().m_Message);
   m_Parts->m_Operators = std::move(Operators.value());
   m_Parts->m_Control.start();
+  m_Parts->m_Timers->post([this] { assignUpkeep(); });
   auto Callers = web::HttpServer::start(
       m_Settings.m_Listen,
       [this](const web::HttpRequest &Request) {
@@ -153,6 +166,24 @@
   return boost::outcome_v2::success();
 }
 
+void Node::assignUpkeep() {
+  std::shared_ptr<const addresses::RoutingView> View =
+      m_Parts->m_Control.routing();
+  for (const auto &[Service, Entry] : View->m_Catalogue.m_Services) {
+    auto First =
+        View->m_Owners.m_Owners.lower_bound(balancing::PoolId{Service, ""});
+    bool Ours = First != View->m_Owners.m_Owners.end() &&
+                First->first.m_Service == Service &&
+                First->second.m_Owner == m_Settings.m_Name;
+    if (Entry.m_Class == catalogue::ServiceClass::Money)
+      m_Parts->m_Claims.setSweeper(Service, Ours);
+    if (Entry.m_Class == catalogue::ServiceClass::Upload)
+      m_Parts->m_Uploads.setDeliverer(Service, Ours);
+  }
+  m_Parts->m_Timers->schedule("upkeep", m_Clock.now() + UpkeepPause,
+                              [this] { assignUpkeep(); });
+}
+
 void Node::stop() {
   logEvent(LogLevel::Info, "stopping", {{"vm", m_Settings.m_Name}});
   TimePoint GiveUp = m_Clock.now() + m_Settings.m_StopTimeout;
--- a/libs/entry/src/Router.cpp
+++ b/libs/entry/src/Router.cpp
@@ -1,4 +1,5 @@
 #include "hyssopcross/entry/Router.h"
+#include "RecordAnswers.h"
 #include "WireCodec.h"
 #include "hyssopcross/base/Log.h"
 #include "hyssopcross/protocol/Headers.h"
@@ -21,6 +22,9 @@
 /// Added to the time that another VM has for its answer.
 constexpr Duration ForwardSlack = std::chrono::milliseconds(50);
 
+/// Part of an upload's time that is kept for holding it.
+constexpr Duration UploadHoldTime = std::chrono::milliseconds(400);
+
 /// When to come back while no owner is known or reached.
 constexpr Duration NoOwnerRetryAfter = std::chrono::milliseconds(500);
 
@@ -39,6 +43,14 @@
   return std::nullopt;
 }
 
+void setHeader(HeaderList &Headers, const char *Name,
+               const std::string &Value) {
+  std::erase_if(Headers, [Name](const auto &Each) {
+    return strcasecmp(Each.first.c_str(), Name) == 0;
+  });
+  Headers.emplace_back(Name, Value);
+}
+
 /// Digest over everything that makes two requests the same.
 std::string requestDigest(const IncomingCall &Call) {
   std::string Text = Call.m_Method + "\n" + Call.m_Target + "\n";
@@ -63,59 +75,6 @@
                        RetryAfter);
 }
 
-CallerAnswer answerMoney(const claims::Answer &Answer) {
-  using claims::AnswerKind;
-  switch (Answer.m_Kind) {
-  case AnswerKind::Completed:
-  case AnswerKind::Recorded: {
-    CallerAnswer Completed;
-    Completed.m_Outcome = Outcome::Completed;
-    Completed.m_Status = Answer.m_Answer.m_Status;
-    if (!Answer.m_Answer.m_ContentType.empty())
-      Completed.m_Headers.emplace_back("Content-Type",
-                                       Answer.m_Answer.m_ContentType);
-    Completed.m_Headers.emplace_back(
-        protocol::ContentDigestHeader,
-        protocol::contentDigest(Answer.m_Answer.m_Body));
-    Completed.m_Body = Answer.m_Answer.m_Body;
-    return Completed;
-  }
-  case AnswerKind::NoKey:
-    return originatedAnswer(400, Outcome::NotRun, "no-idempotency-key",
-                            "The idempotency key is missing or unusable.");
-  case AnswerKind::OtherRequest:
-    return originatedAnswer(422, Outcome::NotRun, "key-reused",
-                            "The idempotency key names another request.");
-  case AnswerKind::StoreDown:
-    return refusedAnswer(503, "store-down",
-                         "The request can't be recorded now.",
-                         Answer.m_RetryAfter);
-  case AnswerKind::Refused:
-    return refusedAnswer(503, "overloaded",
-                         "The service has no free capacity in time.",
-                         Answer.m_RetryAfter);
-  case AnswerKind::DeadlinePassed:
-    return refusedAnswer(504, "deadline-passed",
-                         "The deadline passed before the request was sent.",
-                         Answer.m_RetryAfter);
-  case AnswerKind::InProgress:
-  case AnswerKind::Broken:
-  case AnswerKind::TimedOut:
-  case AnswerKind::Unresolved:
-    break;
-  }
-  CallerAnswer Unknown =
-      refusedAnswer(Answer.m_Kind == AnswerKind::InProgress   ? 409
-                    : Answer.m_Kind == AnswerKind::TimedOut   ? 504
-                    : Answer.m_Kind == AnswerKind::Unresolved ? 503
-                                                              : 502,
-                    "result-unknown",
-                    "The request may have run; ask again under the same key.",
-                    std::max(Answer.m_RetryAfter, NoOwnerRetryAfter));
-  Unknown.m_Outcome = Outcome::Unknown;
-  return Unknown;
-}
-
 } // namespace
 
 Router::Router(RouterParts Parts) : m_Parts(Parts) {}
@@ -200,9 +159,9 @@
   Request.m_ShareKey = Call.m_ShareKey;
   Request.m_PriorAttempts = Call.m_Attempts;
   Request.m_Depth = Call.m_Depth;
-  // Money stays with the VM that holds its claim.
+  // Money and uploads stay with the VM that keeps their records.
   Request.m_HandedOver =
-      Call.m_HandedOver || Entry.m_Class == ServiceClass::Money;
+      Call.m_HandedOver || Entry.m_Class != ServiceClass::Lookup;
   return Request;
 }
 
@@ -215,9 +174,18 @@
   CallRequest Request = makeRequest(Call, Entry);
   Request.m_Request.m_Headers.emplace_back(
       protocol::TraceParentHeader, trace::formatTraceParent(Span.context()));
-  CallerAnswer Answer = Entry.m_Class == ServiceClass::Money
-                            ? runMoney(Call, Host, Request)
-                            : answerResult(Call, Host.run(Request));
+  CallerAnswer Answer;
+  switch (Entry.m_Class) {
+  case ServiceClass::Lookup:
+    Answer = answerResult(Call, Host.run(Request));
+    break;
+  case ServiceClass::Money:
+    Answer = runMoney(Call, Host, Request);
+    break;
+  case ServiceClass::Upload:
+    Answer = runUpload(Call, Host, Request);
+    break;
+  }
   Span.tag("outcome", protocol::outcomeName(Answer.m_Outcome));
   return Answer;
 }
@@ -238,6 +206,58 @@
       }));
 }
 
+CallerAnswer Router::runUpload(const IncomingCall &Call, PoolHost &Host,
+                               const CallRequest &Request) {
+  uploads::UploadHead Head;
+  Head.m_Service = Call.m_Service;
+  Head.m_Key = Call.m_IdempotencyKey;
+  Head.m_Method = Call.m_Method;
+  Head.m_Path = Call.m_Target;
+  Head.m_Digest = protocol::contentDigest(Call.m_Body);
+  Head.m_Length = Call.m_Body.size();
+  for (const auto &[Name, Value] : Call.m_Headers)
+    if (strcasecmp(Name.c_str(), "Content-Type") == 0)
+      Head.m_ContentType = Value;
+  CallRequest Sent = Request;
+  // The pool gives the call back while there is still time to hold it.
+  Sent.m_Deadline -= UploadHoldTime;
+  return answerUpload(m_Parts.m_Uploads.run(
+      Head, Call.m_Body, Call.m_Deadline, [&](const std::string &Identity) {
+        setHeader(Sent.m_Request.m_Headers, protocol::IdempotencyKeyHeader,
+                  Identity);
+        return Host.run(Sent);
+      }));
+}
+
+CallerAnswer Router::receipt(const std::string &Service,
+                             const std::string &Key) {
+  return answerUpload(m_Parts.m_Uploads.receipt(Service, Key));
+}
+
+CallResult Router::deliver(const uploads::DeliverUpload &Held) {
+  std::shared_ptr<const RoutingView> View = m_Parts.m_Control.routing();
+  auto Entry = View->m_Catalogue.m_Services.find(Held.m_Head.m_Service);
+  std::shared_ptr<PoolHost> Host;
+  for (const auto &[Id, Each] : m_Parts.m_Pools.all())
+    if (Id.m_Service == Held.m_Head.m_Service)
+      Host = Each;
+  if (!Host || Entry == View->m_Catalogue.m_Services.end())
+    return CallRefused{balancing::RefusalReason::NoServer, NoOwnerRetryAfter};
+  IncomingCall Call;
+  Call.m_Service = Held.m_Head.m_Service;
+  Call.m_Method = Held.m_Head.m_Method;
+  Call.m_Target = Held.m_Head.m_Path;
+  Call.m_Body = Held.m_Body;
+  Call.m_CorrelationId =
+      "held-" + View->m_Self + "-" + std::to_string(Held.m_Delivery);
+  Call.m_Deadline =
+      m_Parts.m_Clock.wallNow() + Entry->second.m_Limits.m_Timeout;
+  Call.m_Headers = {{protocol::IdempotencyKeyHeader, Held.m_Identity},
+                    {protocol::ContentDigestHeader, Held.m_Head.m_Digest},
+                    {"Content-Type", Held.m_Head.m_ContentType}};
+  return Host->run(makeRequest(Call, Entry->second));
+}
+
 CallerAnswer Router::answerResult(const IncomingCall &Call, CallResult Result) {
   if (auto *Answered = std::get_if<CallAnswered>(&Result))
     return answerAttempt(std::move(Answered->m_Answer),
--- a/tools/hyssopcrossd/Flags.cpp
+++ b/tools/hyssopcrossd/Flags.cpp
@@ -16,6 +16,8 @@
 DEFINE_int32(store_threads, 8, "platform requests at once");
 DEFINE_int32(max_connections, 512, "connections of callers at once");
 DEFINE_int32(max_body_bytes, 4 << 20, "largest request body");
+DEFINE_uint64(body_budget_bytes, 64U << 20U,
+              "memory for the bodies of requests in progress");
 DEFINE_int32(stop_timeout_ms, 15000, "longest time for a graceful stop");
 DEFINE_int32(lease_ttl_ms, 6000, "time to live of a lease on a pool");
 DEFINE_int32(heartbeat_ms, 1000, "pause between heartbeats to a peer");
@@ -109,6 +111,8 @@
       {"store_threads", static_cast<double>(FLAGS_store_threads), 1, 64},
       {"max_connections", static_cast<double>(FLAGS_max_connections), 1, 10000},
       {"max_body_bytes", static_cast<double>(FLAGS_max_body_bytes), 1, 1 << 28},
+      {"body_budget_bytes", static_cast<double>(FLAGS_body_budget_bytes), 1,
+       1e11},
       {"stop_timeout_ms", static_cast<double>(FLAGS_stop_timeout_ms), 100,
        600000},
       {"lease_ttl_ms", static_cast<double>(FLAGS_lease_ttl_ms), 1000, 60000},
@@ -172,6 +176,7 @@
       static_cast<unsigned>(FLAGS_max_connections);
   Settings.m_CallerLimits.m_BodyBytes =
       static_cast<size_t>(FLAGS_max_body_bytes);
+  Settings.m_BodyBudget = FLAGS_body_budget_bytes;
   Settings.m_TraceShare = FLAGS_trace_share;
   Settings.m_Seed = chooseSeed();
   applyTimes(Settings);
