--- a/libs/load/include/hyssopcross/load/Records.h
+++ b/libs/load/include/hyssopcross/load/Records.h
@@ -30,6 +30,8 @@
   std::string m_Flaw;
   /// The receipt that the answer named, for money.
   std::string m_Receipt;
+  /// Why the attempt was not completed, for people; empty if it was.
+  std::string m_Reason;
 };
 
 /// One call and everything that the caller was told about it.
--- a/libs/load/include/hyssopcross/load/Report.h
+++ b/libs/load/include/hyssopcross/load/Report.h
@@ -18,6 +18,10 @@
 /// Collects the latencies of completed calls.
 statistics::Sample completedLatencies(std::span<const CallRecord> Calls);
 
+/// How many attempts were not completed for each service and reason, one line
+/// of key=value pairs each, the same for the same calls.
+std::vector<std::string> listReasons(std::span<const CallRecord> Calls);
+
 /// The one line that ends a run.
 std::string formatLine(const Report &Report);
 
--- a/libs/load/src/Caller.cpp
+++ b/libs/load/src/Caller.cpp
@@ -91,7 +91,7 @@
   auto Chosen = m_Addresses.choose(Service, Call.m_DataCentre, Address);
   if (!Chosen) {
     RetryAfter = NoAddressPause;
-    return {std::move(Correlation), Told::NotSent, "", ""};
+    return {std::move(Correlation), Told::NotSent, "", "", "no address"};
   }
   Address = Chosen.value();
   auto Answer = m_Client.send(
--- a/libs/load/src/Exchange.cpp
+++ b/libs/load/src/Exchange.cpp
@@ -2,6 +2,7 @@
 #include "hyssopcross/protocol/Headers.h"
 #include "hyssopcross/protocol/Outcome.h"
 #include "hyssopcross/standins/Answers.h"
+#include <nlohmann/json.hpp>
 
 namespace hyssopcross::load {
 
@@ -39,6 +40,19 @@
   return "";
 }
 
+/// The outcome, the status and the code of the JSON error, if there is one.
+std::string describeAnswer(const Response &Answer) {
+  std::string Text(Answer.header(protocol::OutcomeHeader));
+  if (Text.empty())
+    Text = "no outcome";
+  Text += " with status " + std::to_string(Answer.m_Status);
+  auto Json = nlohmann::json::parse(Answer.m_Body, nullptr, false);
+  for (const char *Member : {"code", "error"})
+    if (Json.is_object() && Json.contains(Member) && Json[Member].is_string())
+      return Text + ": " + Json[Member].get<std::string>();
+  return Text;
+}
+
 Told toTold(const Response &Answer) {
   auto Outcome = protocol::parseOutcome(Answer.header(protocol::OutcomeHeader));
   if (!Outcome)
@@ -104,11 +118,15 @@
     Attempt.m_Told = Answer.error().m_Code == ErrorCode::Unavailable
                          ? Told::NotSent
                          : Told::NoAnswer;
+    Attempt.m_Reason =
+        Attempt.m_Told == Told::NotSent ? "not sent" : "no answer";
     Attempt.m_Correlation = std::move(Correlation);
     return Attempt;
   }
   Attempt.m_Told = toTold(Answer.value());
-  if (Attempt.m_Told == Told::Completed) {
+  if (Attempt.m_Told != Told::Completed)
+    Attempt.m_Reason = describeAnswer(Answer.value());
+  else {
     Attempt.m_Flaw = findFlaw(Call, Request, Correlation, Answer.value());
     auto Receipt = standins::parseReceipt(Answer.value().m_Body);
     if (Receipt)
--- a/libs/load/src/Report.cpp
+++ b/libs/load/src/Report.cpp
@@ -1,5 +1,6 @@
 #include "hyssopcross/load/Report.h"
 #include <cstdio>
+#include <map>
 
 namespace hyssopcross::load {
 
@@ -19,6 +20,20 @@
   return Latencies;
 }
 
+std::vector<std::string> listReasons(std::span<const CallRecord> Calls) {
+  std::map<std::pair<std::string, std::string>, size_t> Counts;
+  for (const CallRecord &Call : Calls)
+    for (const AttemptRecord &Attempt : Call.m_Attempts)
+      if (!Attempt.m_Reason.empty())
+        ++Counts[{Call.m_Service, Attempt.m_Reason}];
+  std::vector<std::string> Lines;
+  for (const auto &[Key, Count] : Counts)
+    Lines.push_back("event=attempts_not_completed service=" + Key.first +
+                    " count=" + std::to_string(Count) + " reason=\"" +
+                    Key.second + "\"");
+  return Lines;
+}
+
 std::string formatLine(const Report &Report) {
   const Findings &Found = Report.m_Findings;
   const statistics::Sample &Latencies = Report.m_Latencies;
--- a/libs/load/tests/CallerTest.cpp
+++ b/libs/load/tests/CallerTest.cpp
@@ -189,6 +189,7 @@
     for (const AttemptRecord &Attempt : Record.m_Attempts) {
       Told.push_back(Attempt.m_Told);
       CHECK(Attempt.m_Flaw == "");
+      CHECK(Attempt.m_Reason.empty() == (Attempt.m_Told == Completed));
     }
     CHECK(Told == Case.m_Told);
     if (Case.m_Class == Money && Told.back() == Completed)
--- a/libs/load/tests/ComparisonTest.cpp
+++ b/libs/load/tests/ComparisonTest.cpp
@@ -68,16 +68,16 @@
   constexpr auto Completed = CallOutcome::Completed;
   constexpr auto NotRun = CallOutcome::NotRun;
   constexpr auto Unknown = CallOutcome::Unknown;
-  const AttemptRecord Done{"c1", Told::Completed, "", ""};
-  const AttemptRecord Paid{"c1", Told::Completed, "", "r1"};
-  const AttemptRecord Refused{"c1", Told::NotRun, "", ""};
-  const AttemptRecord NotSent{"c1", Told::NotSent, "", ""};
-  const AttemptRecord NoAnswer{"c1", Told::NoAnswer, "", ""};
-  const AttemptRecord Unsure{"c1", Told::Unknown, "", ""};
-  const AttemptRecord Crossed{"c1", Told::Completed, "another body", ""};
-  const AttemptRecord SecondDone{"c2", Told::Completed, "", ""};
-  const AttemptRecord SecondPaid{"c2", Told::Completed, "", "r1"};
-  const AttemptRecord SecondRefused{"c2", Told::NotRun, "", ""};
+  const AttemptRecord Done{"c1", Told::Completed, "", "", ""};
+  const AttemptRecord Paid{"c1", Told::Completed, "", "r1", ""};
+  const AttemptRecord Refused{"c1", Told::NotRun, "", "", ""};
+  const AttemptRecord NotSent{"c1", Told::NotSent, "", "", ""};
+  const AttemptRecord NoAnswer{"c1", Told::NoAnswer, "", "", ""};
+  const AttemptRecord Unsure{"c1", Told::Unknown, "", "", ""};
+  const AttemptRecord Crossed{"c1", Told::Completed, "another body", "", ""};
+  const AttemptRecord SecondDone{"c2", Told::Completed, "", "", ""};
+  const AttemptRecord SecondPaid{"c2", Told::Completed, "", "r1", ""};
+  const AttemptRecord SecondRefused{"c2", Told::NotRun, "", "", ""};
   const Row Rows[] = {
       {"completed, ran", Lookup, {Done}, {makeRun("c1")}, Completed, 0, 0, 0},
       {"completed, hedged",
@@ -297,6 +297,17 @@
   }
 }
 
+TEST_CASE("reasons are counted by service") {
+  AttemptRecord Refused{"c1", Told::NotRun, "", "", "overloaded"};
+  AttemptRecord Done{"c2", Told::Completed, "", "", ""};
+  const CallRecord Calls[] = {makeCall(ServiceClass::Lookup, {Refused, Done}),
+                              makeCall(ServiceClass::Lookup, {Refused}),
+                              makeCall(ServiceClass::Lookup, {Done})};
+  CHECK(listReasons(Calls) ==
+        std::vector<std::string>{"event=attempts_not_completed service=s "
+                                 "count=2 reason=\"overloaded\""});
+}
+
 TEST_CASE("the line names every figure once") {
   Report Report;
   Report.m_Findings.m_Calls = 3;
--- a/tools/load/Main.cpp
+++ b/tools/load/Main.cpp
@@ -93,6 +93,8 @@
   BOOST_OUTCOME_TRY(Found, compareWithLedgers(Run, Records, Client, Clock));
   Report.m_Findings = Found;
   printDetails(Found);
+  for (const std::string &Line : listReasons(Records))
+    std::fprintf(stderr, "%s\n", Line.c_str());
   std::printf("%s\n", formatLine(Report).c_str());
   return succeeded(Report, Run.m_MaxAddedP99);
 }
