Leave no timers behind, and list the operators' requests

Cause: timers of answered calls stayed until their instant came; with long deadlines that is many. Change: timers go with their claim or upload, asserted after each step; docs/ADMIN-API.md; the size of a catalogue document is checked.

--- a/libs/admin/include/hyssopcross/admin/Admin.h
+++ b/libs/admin/include/hyssopcross/admin/Admin.h
@@ -49,7 +49,7 @@
 /// Answers one request. Blocks while the store does, a change for at most
 /// about the change timeout and one request to the store more. Safe from any
 /// thread if the context's functions are. An error is JSON with a stable code
-/// and a message. docs/OPERATORS.md lists the requests.
+/// and a message. docs/ADMIN-API.md lists the requests.
 AdminResponse handleAdmin(AdminContext &Context, const AdminRequest &Request);
 
 } // namespace hyssopcross::admin
--- a/libs/catalogue/include/hyssopcross/catalogue/Codec.h
+++ b/libs/catalogue/include/hyssopcross/catalogue/Codec.h
@@ -8,7 +8,7 @@
 namespace hyssopcross::catalogue {
 
 /// The largest catalogue document accepted, in bytes. At 24 services, 11 data
-/// centres and 50 VMs out one is about 8 KB.
+/// centres and 50 VMs out one is about 6 KB.
 inline constexpr size_t MaxDocumentBytes = 256U << 10U;
 
 /// The name of a class as documents write it: lookup, money, upload.
--- a/libs/catalogue/tests/CodecTest.cpp
+++ b/libs/catalogue/tests/CodecTest.cpp
@@ -167,3 +167,22 @@
   auto Second = versionsToPass(State, 1);
   CHECK(First[0].m_Vm != Second[0].m_Vm);
 }
+
+TEST_CASE("a catalogue of the intended size is a small document") {
+  constexpr size_t MostBytes = 8192;
+  Catalogue Large;
+  for (int I = 0; I < 24; ++I) {
+    std::string Name = "service-number-" + std::to_string(I);
+    Large.m_Services[Name] = {
+        Name, "team@example.org", ServiceClass::Money, {}};
+  }
+  for (int I = 0; I < 11; ++I) {
+    std::string Name = "data-centre-" + std::to_string(I);
+    Large.m_DataCentres[Name] = {Name, "region-1", true};
+  }
+  for (int I = 0; I < 50; ++I)
+    Large.m_VmsOut.insert("entry-vm-" + std::to_string(I));
+  size_t Bytes = writeJson(Large).size();
+  MESSAGE("document_bytes=" << Bytes);
+  CHECK(Bytes < MostBytes);
+}
--- a/libs/claims/include/hyssopcross/claims/Claims.h
+++ b/libs/claims/include/hyssopcross/claims/Claims.h
@@ -152,8 +152,7 @@
   /// The claims whose writes wait to share a transaction, by the instant at
   /// which they are due.
   std::multimap<TimePoint, CallId> m_Queue;
-  /// When to look at a claim again; entries of claims that have moved on are
-  /// ignored.
+  /// When to look at a claim again, at most twice for each.
   std::set<std::pair<TimePoint, CallId>> m_Timers;
   std::optional<TimePoint> m_WakeAt;
   /// The claims that wait for a request to the store.
--- a/libs/claims/src/Claims.cpp
+++ b/libs/claims/src/Claims.cpp
@@ -313,6 +313,8 @@
   scheduleWake(Ctx);
   HYSSOPCROSS_INVARIANT(State.m_ByRow.size() == State.m_Claims.size(),
                         "a key has at most one claim alive in a process");
+  HYSSOPCROSS_INVARIANT(State.m_Timers.size() <= 2 * State.m_Claims.size(),
+                        "claims that are forgotten leave no timers");
 }
 
 std::string rowKey(std::string_view Service, std::string_view Key) {
--- a/libs/claims/src/Requests.cpp
+++ b/libs/claims/src/Requests.cpp
@@ -106,6 +106,12 @@
   Ctx.m_State.m_Timers.emplace(At, Of.m_Arrival.m_Call);
 }
 
+void clearTimers(Context &Ctx, const Claim &Of) {
+  Ctx.m_State.m_Timers.erase({Of.m_AnswerBy, Of.m_Arrival.m_Call});
+  if (Of.m_RetryAt)
+    Ctx.m_State.m_Timers.erase({*Of.m_RetryAt, Of.m_Arrival.m_Call});
+}
+
 void flushQueue(Context &Ctx) {
   ClaimState &State = Ctx.m_State;
   while (!State.m_Queue.empty() &&
--- a/libs/claims/src/Transitions.cpp
+++ b/libs/claims/src/Transitions.cpp
@@ -95,6 +95,7 @@
   Claim &Of = Found->second;
   HYSSOPCROSS_INVARIANT(Of.m_Answered, "a call is answered");
   unqueueWrite(Ctx, Of);
+  clearTimers(Ctx, Of);
   Ctx.m_State.m_ByRow.erase(rowKey(Of.m_Arrival.m_Service, Of.m_Arrival.m_Key));
   Ctx.m_State.m_Claims.erase(Found);
 }
--- a/libs/claims/src/Transitions.h
+++ b/libs/claims/src/Transitions.h
@@ -62,6 +62,8 @@
 /// claim once it has been tried for too long.
 void retryLater(Context &Ctx, Claim &Of);
 void setTimer(Context &Ctx, const Claim &Of, TimePoint At);
+/// Removes the claim's timers.
+void clearTimers(Context &Ctx, const Claim &Of);
 /// Sends what is queued and due, as far as transactions are free.
 void flushQueue(Context &Ctx);
 
--- a/libs/claims/src/Withdrawals.cpp
+++ b/libs/claims/src/Withdrawals.cpp
@@ -57,6 +57,7 @@
   Of.m_RefusalKind = Kind;
   Of.m_RefusalRetryAfter = RetryAfter;
   Of.m_GiveUpAt = Ctx.m_Now.m_Now + Policy.m_RetryFor;
+  clearTimers(Ctx, Of);
   Of.m_AnswerBy = Ctx.m_Now.m_Now + Policy.m_WithdrawWait;
   setTimer(Ctx, Of, Of.m_AnswerBy);
   if (!Policy.m_WithdrawBeforeNotRun && !Of.m_Answered)
--- a/libs/uploads/include/hyssopcross/uploads/Uploads.h
+++ b/libs/uploads/include/hyssopcross/uploads/Uploads.h
@@ -122,8 +122,7 @@
   /// Objects of calls that were answered before the object was stored.
   std::map<records::RequestId, std::string> m_Abandoned;
   std::map<std::string, ScanState> m_Scans;
-  /// When to look at a call again; entries of calls that have moved on are
-  /// ignored.
+  /// When to look at a call again, at most three times for each.
   std::set<std::pair<TimePoint, CallId>> m_Timers;
   std::optional<TimePoint> m_WakeAt;
   UploadCounters m_Counters;
--- a/libs/uploads/src/Uploads.cpp
+++ b/libs/uploads/src/Uploads.cpp
@@ -230,6 +230,14 @@
   Ctx.m_Actions.push_back(WakeAt{*Next});
 }
 
+void clearTimers(Context &Ctx, const Upload &Of) {
+  CallId Call = Of.m_Arrival.m_Call;
+  Ctx.m_State.m_Timers.erase({Of.m_HoldAt, Call});
+  Ctx.m_State.m_Timers.erase({Of.m_AnswerBy, Call});
+  if (Of.m_SendAt)
+    Ctx.m_State.m_Timers.erase({*Of.m_SendAt, Call});
+}
+
 } // namespace
 
 void answer(Context &Ctx, Upload &Of, Answer Said) {
@@ -241,6 +249,7 @@
   Ctx.m_Actions.push_back(std::move(Said));
   if (Of.m_Phase == UploadPhase::Storing && Of.m_Request != 0)
     Ctx.m_State.m_Abandoned[Of.m_Request] = Of.m_ObjectKey;
+  clearTimers(Ctx, Of);
   CallId Call = Of.m_Arrival.m_Call;
   Ctx.m_State.m_Uploads.erase(Call);
 }
@@ -292,6 +301,8 @@
   std::visit([&](const auto &Value) { handle(Ctx, Value); }, Event);
   startScans(Ctx);
   scheduleWake(Ctx);
+  HYSSOPCROSS_INVARIANT(State.m_Timers.size() <= 3 * State.m_Uploads.size(),
+                        "calls that are answered leave no timers");
 }
 
 std::string rowKey(std::string_view Service, std::string_view Key) {
