--- a/libs/claims/tests/ClaimsTest.cpp
+++ b/libs/claims/tests/ClaimsTest.cpp
@@ -1,5 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "MoneyWorld.h"
+#include "hyssopcross/claims/Answers.h"
 #include <doctest/doctest.h>
 
 using namespace hyssopcross;
@@ -260,3 +261,29 @@
     CHECK(PerCall <= Case.m_MostTransactions);
   }
 }
+
+TEST_CASE("only answers that prove it say not-run") {
+  struct Row {
+    AnswerKind m_Kind;
+    uint16_t m_Status;
+    const char *m_Outcome;
+  };
+  const Row Rows[] = {
+      {AnswerKind::Completed, 0, "completed"},
+      {AnswerKind::Recorded, 0, "completed"},
+      {AnswerKind::NoKey, 400, "not-run"},
+      {AnswerKind::OtherRequest, 422, "not-run"},
+      {AnswerKind::InProgress, 409, "unknown"},
+      {AnswerKind::StoreDown, 503, "not-run"},
+      {AnswerKind::Refused, 503, "not-run"},
+      {AnswerKind::DeadlinePassed, 504, "not-run"},
+      {AnswerKind::Broken, 502, "unknown"},
+      {AnswerKind::TimedOut, 504, "unknown"},
+      {AnswerKind::Unresolved, 503, "unknown"},
+  };
+  for (const Row &Case : Rows) {
+    AnswerText Text = describe(Case.m_Kind);
+    CHECK(Text.m_Status == Case.m_Status);
+    CHECK(std::string(protocol::outcomeName(Text.m_Outcome)) == Case.m_Outcome);
+  }
+}
