--- a/libs/entry/src/Router.cpp
+++ b/libs/entry/src/Router.cpp
@@ -58,6 +58,17 @@
   return protocol::contentDigest(Text);
 }
 
+/// Refuses a call that its pool would refuse anyway.
+std::optional<CallRefused>
+refuseBeforeClaim(const balancing::PoolFigures &Figures,
+                  const CallRequest &Request, TimePoint Now) {
+  if (Figures.m_ExpectedWait < Request.m_Deadline - Now)
+    return std::nullopt;
+  Duration RetryAfter = std::clamp<Duration>(
+      Figures.m_ExpectedWait, NoOwnerRetryAfter, std::chrono::seconds(10));
+  return CallRefused{balancing::RefusalReason::Overloaded, RetryAfter};
+}
+
 /// The view without a VM that could not be reached.
 std::shared_ptr<const RoutingView> without(const RoutingView &View,
                                            const std::string &Vm) {
@@ -192,6 +203,12 @@
 
 CallerAnswer Router::runMoney(const IncomingCall &Call, PoolHost &Host,
                               const CallRequest &Request) {
+  // A refusal without a claim costs the store nothing. A repeat has to look at
+  // the claim of the request before it.
+  if (Call.m_Attempts == 0)
+    if (auto Refused =
+            refuseBeforeClaim(Host.figures(), Request, m_Parts.m_Clock.now()))
+      return answerRefusal(*Refused);
   claims::MoneyArrived Arrival;
   Arrival.m_Service = Call.m_Service;
   Arrival.m_Key = Call.m_IdempotencyKey;
