Assume all of a predecessor's slots, spread retries, bound spill messages

Cause, found by reading: a server that the digest does not name started with no slot assumed taken; an old owner's own view outlived a newer digest; a retry could go back to the server that had just failed; a hedge could start after the data centre was taken out; offers to a pool that had nothing to give went out every 10 ms; an entry with zero slots would have broken an invariant.

Change: each mended, with an invariant that a pool which does not serve sends nothing. Lapsed offers wait for twice as long each time. Announcements are at least 20 ms apart. The start of an attempt stands beside the server.

--- a/libs/balancing/include/hyssopcross/balancing/Policy.h
+++ b/libs/balancing/include/hyssopcross/balancing/Policy.h
@@ -129,7 +129,7 @@
   /// Expected wait from which the pool tells others that it queues.
   Duration m_AnnounceWait = std::chrono::milliseconds(2);
   /// Least time between two announcements.
-  Duration m_AnnounceInterval = std::chrono::milliseconds(5);
+  Duration m_AnnounceInterval = std::chrono::milliseconds(20);
   /// While the pool queues it repeats the announcement this often.
   Duration m_AnnounceRefresh = std::chrono::milliseconds(100);
   /// An announcement of another pool is forgotten after this time.
--- a/libs/balancing/include/hyssopcross/balancing/State.h
+++ b/libs/balancing/include/hyssopcross/balancing/State.h
@@ -21,6 +21,12 @@
   Warm,
 };
 
+/// An attempt that runs at a server.
+struct ServerAttempt {
+  AttemptId m_Id = 0;
+  TimePoint m_Started;
+};
+
 /// What the pool knows of a server.
 struct ServerState {
   ServerStage m_Stage = ServerStage::Cold;
@@ -34,7 +40,7 @@
   /// Latencies that this process of the server is known by.
   uint32_t m_LatencySamples = 0;
   /// Attempts of this owner that have not ended, oldest first.
-  std::vector<AttemptId> m_Running;
+  std::vector<ServerAttempt> m_Running;
   /// When the limit last changed.
   TimePoint m_StepSince;
   std::optional<TimePoint> m_LastSend;
@@ -134,6 +140,9 @@
   /// Free slots offered to it.
   uint32_t m_Offered = 0;
   TimePoint m_OfferedUntil;
+  /// Offers in a row that lapsed; the next one waits for longer.
+  uint32_t m_LapsedOffers = 0;
+  TimePoint m_NextOffer = TimePoint::min();
 };
 
 /// What the pool has told and offered others.
@@ -201,6 +210,8 @@
   AttemptId m_LastAttempt = 0;
   /// Slots count as taken by the predecessor until then.
   std::optional<TimePoint> m_AssumedUntil;
+  /// A server that the predecessor's digest didn't name may have work of it.
+  bool m_AssumeUnknown = false;
   /// When a server that a queued call waits for becomes ready by itself.
   std::optional<TimePoint> m_ServerReadyAt;
   std::optional<TimePoint> m_NextProbe;
--- a/libs/balancing/src/Attempts.cpp
+++ b/libs/balancing/src/Attempts.cpp
@@ -65,7 +65,9 @@
   auto Server = Step.m_State.m_Servers.find(Attempt.m_Server);
   HYSSOPCROSS_INVARIANT(Server != Step.m_State.m_Servers.end(),
                         "a server with attempts is known");
-  std::erase(Server->second.m_Running, Event.m_Attempt);
+  std::erase_if(Server->second.m_Running, [&Event](const ServerAttempt &Known) {
+    return Known.m_Id == Event.m_Attempt;
+  });
   if (Event.m_Report)
     applyReport(Step, Server->second, *Event.m_Report, ReportSource::Answer);
   countForServer(Step, Server->second, Attempt, Event);
@@ -114,7 +116,7 @@
   Running.m_BootId = Server.m_Server->m_BootId;
   Running.m_Started = Step.m_Now;
   Running.m_Hedge = Hedge;
-  Server.m_Server->m_Running.push_back(Attempt);
+  Server.m_Server->m_Running.push_back({Attempt, Step.m_Now});
   Server.m_Server->m_LastSend = Step.m_Now;
   Call.m_Running.push_back(Attempt);
   ++Call.m_Sent;
--- a/libs/balancing/src/Choice.cpp
+++ b/libs/balancing/src/Choice.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Each recent failure makes a server dearer by this multiple of its cost.
+constexpr int FailureCost = 4;
+constexpr uint32_t MaxCountedFailures = 8;
+
 uint32_t takenSlots(const PoolState &State, const ServerState &Server) {
   uint32_t Assumed =
       State.m_Policy.m_Switches.m_AssumeTaken ? Server.m_AssumedInFlight : 0;
@@ -27,11 +31,12 @@
 }
 
 /// Expected service time, longer for a server that shares its machine with
-/// more of our requests, and for one without an idle connection.
+/// more of our requests, has failed lately or has no idle connection.
 Duration cost(const PoolState &State, const ServerState &Server,
               TimePoint Now) {
   Duration Expected = expectedServiceTime(State, Server, Now);
   Duration Cost = Expected * (1 + takenSlots(State, Server));
+  Cost *= 1 + FailureCost * std::min(Server.m_Failures, MaxCountedFailures);
   if (Server.m_OpenConnections &&
       *Server.m_OpenConnections <= Server.inFlight())
     Cost += State.m_Policy.m_ConnectCost;
@@ -84,7 +89,7 @@
   const PoolPolicy &Policy = State.m_Policy;
   if (!Policy.m_Switches.m_AvoidSlowed || Server.m_Running.empty())
     return false;
-  Duration Age = Now - State.m_Attempts.at(Server.m_Running[0]).m_Started;
+  Duration Age = Now - Server.m_Running.front().m_Started;
   if (Age < Policy.m_SlowedFloor)
     return false;
   Duration Usual = Server.m_UsualLatency == Duration::zero()
--- a/libs/balancing/src/Context.h
+++ b/libs/balancing/src/Context.h
@@ -2,6 +2,7 @@
 #define HYSSOPCROSS_BALANCING_CONTEXT_H
 
 #include "hyssopcross/balancing/State.h"
+#include <algorithm>
 
 namespace hyssopcross::balancing {
 
@@ -16,6 +17,8 @@
   const catalogue::ServiceLimits &limits() const {
     return m_State.m_Entry.m_Limits;
   }
+  /// Slots of one server, at least one whatever the entry says.
+  uint32_t slots() const { return std::max(limits().m_Slots, 1U); }
   bool isBaseline() const {
     return policy().m_Choice != ChoicePolicy::OwnerQueue;
   }
--- a/libs/balancing/src/Dispatch.cpp
+++ b/libs/balancing/src/Dispatch.cpp
@@ -31,8 +31,8 @@
     Earliest = Time;
 }
 
-std::optional<TimePoint> nextDue(const PoolState &State) {
-  std::optional<TimePoint> Next = nextSpillTime(State);
+std::optional<TimePoint> nextDue(const PoolState &State, TimePoint Now) {
+  std::optional<TimePoint> Next = nextSpillTime(State, Now);
   if (!State.m_Queue.m_Deadlines.empty())
     keepEarlier(Next, State.m_Queue.m_Deadlines.begin()->m_At);
   if (!State.m_Hedges.empty())
@@ -85,7 +85,7 @@
 
 void scheduleWake(Context &Step) {
   PoolState &State = Step.m_State;
-  std::optional<TimePoint> Next = nextDue(State);
+  std::optional<TimePoint> Next = nextDue(State, Step.m_Now);
   if (!Next)
     return;
   TimePoint Time = *Next > Step.m_Now ? *Next : Step.m_Now + OverdueWake;
--- a/libs/balancing/src/Hedging.cpp
+++ b/libs/balancing/src/Hedging.cpp
@@ -3,6 +3,7 @@
 #include "Budgets.h"
 #include "Choice.h"
 #include "Latency.h"
+#include "Spill.h"
 #include "hyssopcross/base/Invariant.h"
 #include <algorithm>
 
@@ -17,8 +18,8 @@
 
 bool isWorthHedging(const Context &Step, const AttemptState &Attempt) {
   auto Call = Step.m_State.m_Calls.find(Attempt.m_Call);
-  return Call != Step.m_State.m_Calls.end() && !Attempt.m_Cancelled &&
-         Call->second.m_Running.size() == 1 &&
+  return isServing(Step.m_State) && Call != Step.m_State.m_Calls.end() &&
+         !Attempt.m_Cancelled && Call->second.m_Running.size() == 1 &&
          Call->second.m_Arrival.m_Deadline > Step.m_Now;
 }
 
--- a/libs/balancing/src/Invariants.cpp
+++ b/libs/balancing/src/Invariants.cpp
@@ -10,7 +10,7 @@
 
 void checkOwnedSend(const Context &Step, const ServerState &Server) {
   uint32_t Taken = Server.inFlight() + Server.m_AssumedInFlight + 1;
-  HYSSOPCROSS_INVARIANT(Taken <= Step.limits().m_Slots,
+  HYSSOPCROSS_INVARIANT(Taken <= Step.slots(),
                         "in flight at a server stays within its slots");
   HYSSOPCROSS_INVARIANT(Taken <= Server.m_Limit,
                         "in flight at a server stays within its limit");
@@ -54,6 +54,8 @@
                const ServerState &Server) {
   HYSSOPCROSS_INVARIANT(Server.m_Listed && !Server.m_Leaving,
                         "leaving servers get no new work");
+  HYSSOPCROSS_INVARIANT(Step.m_State.m_InService && !Step.m_State.m_Released,
+                        "a pool that does not serve sends nothing new");
   HYSSOPCROSS_INVARIANT(Call.m_Arrival.m_Deadline > Step.m_Now,
                         "no call is sent after its deadline");
   bool Lookup = Step.m_State.m_Entry.m_Class == catalogue::ServiceClass::Lookup;
--- a/libs/balancing/src/Servers.cpp
+++ b/libs/balancing/src/Servers.cpp
@@ -12,6 +12,8 @@
   if (Added) {
     makeCold(Step, Found->second);
     startProbeBudget(Step, Found->second);
+    if (Step.m_State.m_AssumedUntil && Step.m_State.m_AssumeUnknown)
+      Found->second.m_AssumedInFlight = Found->second.m_Limit;
   }
   return Found->second;
 }
@@ -91,10 +93,9 @@
     Share /= 2;
   auto Most = static_cast<uint32_t>(
       static_cast<double>(Step.limits().m_Connections) * Share);
-  uint32_t Wanted =
-      Server.m_Stage == ServerStage::Cold
-          ? Server.m_Limit
-          : Step.limits().m_Slots + Step.policy().m_SpareConnections;
+  uint32_t Wanted = Server.m_Stage == ServerStage::Cold
+                        ? Server.m_Limit
+                        : Step.slots() + Step.policy().m_SpareConnections;
   return std::min(Wanted, std::max(Most, 1U));
 }
 
@@ -139,6 +140,10 @@
   PoolState &State = Step.m_State;
   State.m_Released = false;
   State.m_AssumedUntil = Event.m_Until;
+  State.m_AssumeUnknown = !Event.m_Exact;
+  makeAllCold(Step);
+  for (auto &[Id, Server] : State.m_Servers)
+    Server.m_AssumedInFlight = Event.m_Exact ? 0 : Server.m_Limit;
   for (const ServerDigest &Record : Event.m_Digest) {
     ServerState &Server = findOrAdd(Step, Record.m_Server);
     bool Contradicted =
--- a/libs/balancing/src/Spill.cpp
+++ b/libs/balancing/src/Spill.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Lapsed offers beyond which the wait no longer doubles.
+constexpr uint32_t MaxLapsedOffers = 5;
+
 bool spills(const Context &Step) {
   return Step.switches().m_Spill && !Step.isBaseline();
 }
@@ -59,13 +62,25 @@
 
 bool mayOffer(const Context &Step, const PeerState &Peer) {
   return Peer.m_QueueingUntil && *Peer.m_QueueingUntil > Step.m_Now &&
-         Peer.m_Offered == 0;
+         Peer.m_Offered == 0 && Peer.m_NextOffer <= Step.m_Now;
 }
 
+/// Takes back offers whose time is over. One of which nothing was used makes
+/// the next one wait for twice as long.
 void expireOffers(Context &Step) {
-  for (auto &[Pool, Peer] : Step.m_State.m_Spill.m_Peers)
-    if (Peer.m_OfferedUntil <= Step.m_Now)
-      Peer.m_Offered = 0;
+  Duration Life = Step.policy().m_OfferLife;
+  for (auto &[Pool, Peer] : Step.m_State.m_Spill.m_Peers) {
+    if (Peer.m_Offered == 0 || Peer.m_OfferedUntil > Step.m_Now)
+      continue;
+    Peer.m_Offered = 0;
+    Peer.m_LapsedOffers = std::min(Peer.m_LapsedOffers + 1, MaxLapsedOffers);
+    Peer.m_NextOffer = Step.m_Now + Life * ((1 << Peer.m_LapsedOffers) - 2);
+  }
+}
+
+void resetOffers(PeerState &Peer) {
+  Peer.m_LapsedOffers = 0;
+  Peer.m_NextOffer = TimePoint::min();
 }
 
 void forgetQuietPeers(Context &Step) {
@@ -121,10 +136,13 @@
   if (Event.m_Pool == Step.m_State.m_Id)
     return;
   PeerState &Peer = Step.m_State.m_Spill.m_Peers[Event.m_Pool];
-  if (Event.m_Queueing)
-    Peer.m_QueueingUntil = Step.m_Now + Step.policy().m_PeerQueueingLife;
-  else
+  if (!Event.m_Queueing) {
     Peer.m_QueueingUntil.reset();
+  } else {
+    if (!Peer.m_QueueingUntil || *Peer.m_QueueingUntil <= Step.m_Now)
+      resetOffers(Peer);
+    Peer.m_QueueingUntil = Step.m_Now + Step.policy().m_PeerQueueingLife;
+  }
   forgetQuietPeers(Step);
 }
 
@@ -152,8 +170,10 @@
     if (Peer.m_Offered > 0 &&
         (!Oldest || Peer.m_OfferedUntil < Oldest->m_OfferedUntil))
       Oldest = &Peer;
-  if (Oldest)
-    --Oldest->m_Offered;
+  if (!Oldest)
+    return;
+  --Oldest->m_Offered;
+  resetOffers(*Oldest);
 }
 
 void announce(Context &Step) {
@@ -199,7 +219,7 @@
   }
 }
 
-std::optional<TimePoint> nextSpillTime(const PoolState &State) {
+std::optional<TimePoint> nextSpillTime(const PoolState &State, TimePoint Now) {
   const SpillState &Spill = State.m_Spill;
   std::optional<TimePoint> Next;
   if (Spill.m_Announced) {
@@ -208,9 +228,13 @@
                          : State.m_Policy.m_AnnounceRefresh;
     keepEarlier(Next, *Spill.m_AnnouncedAt + After);
   }
-  for (const auto &[Pool, Peer] : Spill.m_Peers)
-    if (Peer.m_QueueingUntil && Peer.m_Offered > 0)
-      keepEarlier(Next, Peer.m_OfferedUntil);
+  for (const auto &[Pool, Peer] : Spill.m_Peers) {
+    if (!Peer.m_QueueingUntil)
+      continue;
+    TimePoint Due = Peer.m_Offered > 0 ? Peer.m_OfferedUntil : Peer.m_NextOffer;
+    if (Due > Now)
+      keepEarlier(Next, Due);
+  }
   return Next;
 }
 
--- a/libs/balancing/src/Spill.h
+++ b/libs/balancing/src/Spill.h
@@ -37,7 +37,7 @@
 void offerSlots(Context &Step);
 
 /// When announcements or offers need the next step, if at all.
-std::optional<TimePoint> nextSpillTime(const PoolState &State);
+std::optional<TimePoint> nextSpillTime(const PoolState &State, TimePoint Now);
 
 } // namespace hyssopcross::balancing
 
--- a/libs/balancing/src/Warmup.cpp
+++ b/libs/balancing/src/Warmup.cpp
@@ -51,7 +51,7 @@
   if (Server.m_StepCompletions < Needed ||
       Step.m_Now - Server.m_StepSince < Least)
     return;
-  if (Server.m_Limit < Step.limits().m_Slots) {
+  if (Server.m_Limit < Step.slots()) {
     startStep(Step, Server, Server.m_Stage, Server.m_Limit + 1);
     return;
   }
@@ -65,7 +65,7 @@
 }
 
 void clampLimit(Context &Step, ServerState &Server) {
-  uint32_t Slots = std::max(Step.limits().m_Slots, 1U);
+  uint32_t Slots = Step.slots();
   if (Server.m_Stage == ServerStage::Warm && Server.m_Limit < Slots)
     Server.m_Stage = ServerStage::Suspect;
   Server.m_Limit =
@@ -74,7 +74,7 @@
 
 uint32_t concurrencyLimit(const PoolState &State, const ServerState &Server) {
   if (!State.m_Policy.m_Switches.m_RampCold)
-    return State.m_Entry.m_Limits.m_Slots;
+    return std::max(State.m_Entry.m_Limits.m_Slots, 1U);
   return Server.m_Limit;
 }
 
