--- a/libs/balancing/tests/AttemptsTest.cpp
+++ b/libs/balancing/tests/AttemptsTest.cpp
@@ -197,3 +197,33 @@
     CHECK(ToSlow == (Avoids ? 0 : 1));
   }
 }
+
+TEST_CASE("retries stay a share of successes when servers shed everything") {
+  struct Row {
+    int m_Successes;
+    uint64_t m_MostRetries;
+  };
+  const Row Rows[] = {{0, 10}, {50, 15}};
+  for (const Row &Row : Rows) {
+    CAPTURE(Row.m_Successes);
+    PoolPolicy Policy;
+    Policy.m_Switches.m_DropOnTrouble = false;
+    Host Host(makeEntry(ServiceClass::Money), Policy);
+    Host.takeOverWarm(4);
+    Host.m_State.m_RetryBudget.m_Tokens = 0;
+    Host.runCalls(Row.m_Successes);
+    Host.m_State.m_RetryBudget.m_Tokens += Row.m_Successes == 0 ? 10 : 0;
+    for (CallId Call = 1; Call <= 500; ++Call) {
+      Host.arrive(Call);
+      std::vector<SendAttempt> Sent = Host.all<SendAttempt>();
+      while (!Sent.empty()) {
+        Host.m_Now += 1ms;
+        Host.end(Sent[0].m_Attempt, AttemptEnd::Shed);
+        Sent = Host.all<SendAttempt>();
+      }
+      CHECK(Host.only<RefuseCall>().m_Call == Call);
+    }
+    CHECK(Host.m_State.m_Counters.m_Retries > 0);
+    CHECK(Host.m_State.m_Counters.m_Retries <= Row.m_MostRetries);
+  }
+}
--- a/libs/balancing/tests/ProbingTest.cpp
+++ b/libs/balancing/tests/ProbingTest.cpp
@@ -107,12 +107,16 @@
   struct Row {
     const char *m_Name;
     ChoicePolicy m_Choice;
-    int m_ToLoaded;
+    CallId m_Calls;
+    uint32_t m_ToLoaded;
   };
-  // s1 has reported a load of nine, s2 one of zero; 20 calls arrive.
+  // s1 has reported a load of nine, s2 one of zero. ProbePool uses a probe
+  // three times.
   const Row Rows[] = {
-      {"two choices", ChoicePolicy::TwoChoices, 10},
-      {"least reported", ChoicePolicy::LeastReported, 0},
+      {"two choices", ChoicePolicy::TwoChoices, 20, 10},
+      {"least reported", ChoicePolicy::LeastReported, 20, 0},
+      {"probe pool, cold server's probe", ChoicePolicy::ProbePool, 3, 0},
+      {"probe pool, then the hot one's", ChoicePolicy::ProbePool, 6, 3},
   };
   for (const Row &Row : Rows) {
     CAPTURE(std::string(Row.m_Name));
@@ -122,7 +126,7 @@
     Host.takeOverWarm(2);
     Host.apply(ProbeEnded{"s1", LoadReport{9, 0, false, "boot"}});
     Host.apply(ProbeEnded{"s2", LoadReport{0, 0, false, "boot"}});
-    for (CallId Call = 1; Call <= 20; ++Call) {
+    for (CallId Call = 1; Call <= Row.m_Calls; ++Call) {
       Host.arrive(Call);
       CHECK(Host.all<SendAttempt>().size() == 1);
     }
--- a/libs/balancing/tests/SpillTest.cpp
+++ b/libs/balancing/tests/SpillTest.cpp
@@ -142,3 +142,31 @@
     CHECK(Host.only<FinishCall>().m_Call == 1);
   }
 }
+
+TEST_CASE("offers that lapse become rarer until one is used") {
+  PoolPolicy Policy;
+  Policy.m_PeerQueueingLife = 1h;
+  Host Host(makeEntry(), Policy);
+  Host.takeOverWarm(1);
+  Host.apply(PeerQueueing{Cusco, true});
+  auto CountOffers = [&Host] {
+    int Offers = 0;
+    for (int Index = 0; Index < 1000; ++Index) {
+      Host.wakeAfter(1ms);
+      Offers += static_cast<int>(Host.all<AskPull>().size());
+    }
+    return Offers;
+  };
+  int Lapsing = CountOffers();
+  CHECK(Lapsing >= 3);
+  CHECK(Lapsing <= 8);
+  while (Host.all<AskPull>().empty())
+    Host.wakeAfter(1ms);
+  CallArrived Event;
+  Event.m_Call = 1;
+  Event.m_Deadline = Host.m_Now + 1s;
+  Event.m_HandedOver = true;
+  Host.apply(Event);
+  CHECK(Host.only<SendAttempt>().m_Call == 1);
+  CHECK(Host.m_State.m_Spill.m_Peers.at(Cusco).m_LapsedOffers == 0);
+}
--- a/tools/bench-pool/BenchPool.cpp
+++ b/tools/bench-pool/BenchPool.cpp
@@ -2,18 +2,23 @@
 #include <cstdio>
 #include <gflags/gflags.h>
 
+using namespace hyssopcross;
+
 DEFINE_uint32(servers, 60, "backend servers of the pool");
 DEFINE_uint32(slots, 2, "requests that one backend server runs at once");
 DEFINE_double(load, 0.7, "share of the slots that the load keeps busy");
 DEFINE_double(slow_factor, 5.0,
               "how much slower one server at a time is, for 100 ms in 300 ms");
 DEFINE_uint64(calls, 100000, "calls counted for each policy");
+DEFINE_double(hedge_share, balancing::PoolPolicy().m_HedgeShare,
+              "hedges per lookup");
+DEFINE_double(
+    hedge_quantile, balancing::PoolPolicy().m_HedgeQuantile,
+    "share of recent latencies that are shorter than the hedge delay");
 DEFINE_uint64(seed, 1, "seed of the load");
 
 namespace {
 
-using namespace hyssopcross;
-
 struct Row {
   const char *m_Name;
   balancing::ChoicePolicy m_Choice;
@@ -37,6 +42,8 @@
   bench::SimulationOptions Options;
   Options.m_Policy.m_Choice = Row.m_Choice;
   Options.m_Policy.m_Switches.m_Hedge = Row.m_Hedge;
+  Options.m_Policy.m_HedgeShare = FLAGS_hedge_share;
+  Options.m_Policy.m_HedgeQuantile = FLAGS_hedge_quantile;
   Options.m_Servers = FLAGS_servers;
   Options.m_Slots = FLAGS_slots;
   Options.m_Load = FLAGS_load;
