Prefer other servers than the one that failed, for a while only

Cause: the cost of a failure had no end, so that a server that once failed could stay without work, and so without a way back, while others had slots.

--- a/libs/balancing/src/Choice.cpp
+++ b/libs/balancing/src/Choice.cpp
@@ -36,7 +36,10 @@
               TimePoint Now) {
   Duration Expected = expectedServiceTime(State, Server, Now);
   Duration Cost = Expected * (1 + takenSlots(State, Server));
-  Cost *= 1 + FailureCost * std::min(Server.m_Failures, MaxCountedFailures);
+  bool FailedLately = Server.m_Failures > 0 &&
+                      Now - Server.m_StepSince < State.m_Policy.m_ColdStep;
+  if (FailedLately)
+    Cost *= 1 + FailureCost * std::min(Server.m_Failures, MaxCountedFailures);
   if (Server.m_OpenConnections &&
       *Server.m_OpenConnections <= Server.inFlight())
     Cost += State.m_Policy.m_ConnectCost;
@@ -65,11 +68,6 @@
          Step.m_Now - *Server.m_LastSend >= Step.policy().m_ColdExploreSpacing;
 }
 
-void keepEarlier(std::optional<TimePoint> &Earliest, TimePoint Time) {
-  if (!Earliest || Time < *Earliest)
-    Earliest = Time;
-}
-
 } // namespace
 
 bool mayServe(const PoolState &State, const ServerState &Server) {
--- a/libs/balancing/src/Context.h
+++ b/libs/balancing/src/Context.h
@@ -35,6 +35,13 @@
   return State.m_Random() % Count;
 }
 
+/// Keeps the earlier of two instants; none is later than any.
+inline void keepEarlier(std::optional<TimePoint> &Earliest,
+                        std::optional<TimePoint> Time) {
+  if (Time && (!Earliest || *Time < *Earliest))
+    Earliest = Time;
+}
+
 /// A length of time multiplied by a factor that is not negative; saturates.
 inline Duration scale(Duration Length, double Factor) {
   double Scaled = static_cast<double>(Length.count()) * Factor;
--- a/libs/balancing/src/Dispatch.cpp
+++ b/libs/balancing/src/Dispatch.cpp
@@ -25,12 +25,6 @@
   return Step.isBaseline() ? chooseByBaseline(Step) : chooseServer(Step);
 }
 
-void keepEarlier(std::optional<TimePoint> &Earliest,
-                 std::optional<TimePoint> Time) {
-  if (Time && (!Earliest || *Time < *Earliest))
-    Earliest = Time;
-}
-
 std::optional<TimePoint> nextDue(const PoolState &State, TimePoint Now) {
   std::optional<TimePoint> Next = nextSpillTime(State, Now);
   if (!State.m_Queue.m_Deadlines.empty())
--- a/libs/balancing/src/Spill.cpp
+++ b/libs/balancing/src/Spill.cpp
@@ -91,11 +91,6 @@
   });
 }
 
-void keepEarlier(std::optional<TimePoint> &Earliest, TimePoint Time) {
-  if (!Earliest || Time < *Earliest)
-    Earliest = Time;
-}
-
 } // namespace
 
 bool isServing(const PoolState &State) {
--- a/libs/balancing/tests/AttemptsTest.cpp
+++ b/libs/balancing/tests/AttemptsTest.cpp
@@ -227,3 +227,20 @@
     CHECK(Host.m_State.m_Counters.m_Retries <= Row.m_MostRetries);
   }
 }
+
+TEST_CASE(
+    "a retry goes elsewhere, and the failed server is tried again later") {
+  Host Host;
+  Host.takeOverWarm(2);
+  Host.arrive(1);
+  SendAttempt First = Host.only<SendAttempt>();
+  Host.arrive(2);
+  Host.end(First.m_Attempt, AttemptEnd::Shed);
+  SendAttempt Second = Host.only<SendAttempt>();
+  CHECK(Second.m_Call == 1);
+  CHECK(Second.m_Server != First.m_Server);
+  Host.m_Now += 1s;
+  Host.end(Second.m_Attempt);
+  Host.arrive(3);
+  CHECK(Host.only<SendAttempt>().m_Server == First.m_Server);
+}
