--- a/libs/balancing/tests/QueueTest.cpp
+++ b/libs/balancing/tests/QueueTest.cpp
@@ -7,15 +7,15 @@
 
 TEST_CASE("a call that cannot finish in time is refused on arrival") {
   struct Row {
-    bool m_RefuseEarly;
-    int m_Queued;
     Duration m_Allowed;
+    int m_Queued;
+    bool m_RefuseEarly;
     bool m_Refused;
   };
   // One warm server with two slots and 10 ms for a call drains one in 5 ms.
   const Row Rows[] = {
-      {true, 0, 16ms, false}, {true, 0, 14ms, true},   {true, 4, 36ms, false},
-      {true, 4, 34ms, true},  {false, 4, 34ms, false},
+      {16ms, 0, true, false}, {14ms, 0, true, true},   {36ms, 4, true, false},
+      {34ms, 4, true, true},  {34ms, 4, false, false},
   };
   for (const Row &Row : Rows) {
     CAPTURE(Row.m_Queued);
--- a/libs/balancing/tests/SpillTest.cpp
+++ b/libs/balancing/tests/SpillTest.cpp
@@ -60,17 +60,17 @@
 TEST_CASE("a pull takes the calls that gain, the oldest first") {
   struct Row {
     const char *m_Name;
-    uint32_t m_FreeSlots;
     Duration m_Allowed;
+    uint32_t m_FreeSlots;
     bool m_HandedOver;
     std::vector<CallId> m_Calls;
   };
   const Row Rows[] = {
-      {"two", 2, 1s, false, {11, 12}},
-      {"all", 9, 1s, false, {11, 12, 13, 14}},
-      {"none free", 0, 1s, false, {}},
-      {"too late for a crossing", 9, 11ms, false, {}},
-      {"handed over before", 9, 1s, true, {}},
+      {"two", 1s, 2, false, {11, 12}},
+      {"all", 1s, 9, false, {11, 12, 13, 14}},
+      {"none free", 1s, 0, false, {}},
+      {"too late for a crossing", 11ms, 9, false, {}},
+      {"handed over before", 1s, 9, true, {}},
   };
   for (const Row &Row : Rows) {
     CAPTURE(std::string(Row.m_Name));
