--- a/libs/balancing/tests/ProbingTest.cpp
+++ b/libs/balancing/tests/ProbingTest.cpp
@@ -107,7 +107,7 @@
   struct Row {
     const char *m_Name;
     ChoicePolicy m_Choice;
-    CallId m_Calls;
+    uint32_t m_Calls;
     uint32_t m_ToLoaded;
   };
   // s1 has reported a load of nine, s2 one of zero. ProbePool uses a probe
