--- a/libs/balancing/src/Context.h
+++ b/libs/balancing/src/Context.h
@@ -2,6 +2,7 @@
 #define HYSSOPCROSS_BALANCING_CONTEXT_H
 
 #include "hyssopcross/balancing/State.h"
+#include <algorithm>
 
 namespace hyssopcross::balancing {
 
@@ -16,6 +17,8 @@
   const catalogue::ServiceLimits &limits() const {
     return m_State.m_Entry.m_Limits;
   }
+  /// Slots of one server, at least one whatever the entry says.
+  uint32_t slots() const { return std::max(limits().m_Slots, 1U); }
   bool isBaseline() const {
     return policy().m_Choice != ChoicePolicy::OwnerQueue;
   }
@@ -32,6 +35,13 @@
   return State.m_Random() % Count;
 }
 
+/// Keeps the earlier of two instants; none is later than any.
+inline void keepEarlier(std::optional<TimePoint> &Earliest,
+                        std::optional<TimePoint> Time) {
+  if (Time && (!Earliest || *Time < *Earliest))
+    Earliest = Time;
+}
+
 /// A length of time multiplied by a factor that is not negative; saturates.
 inline Duration scale(Duration Length, double Factor) {
   double Scaled = static_cast<double>(Length.count()) * Factor;
--- a/libs/balancing/src/Dispatch.cpp
+++ b/libs/balancing/src/Dispatch.cpp
@@ -25,14 +25,8 @@
   return Step.isBaseline() ? chooseByBaseline(Step) : chooseServer(Step);
 }
 
-void keepEarlier(std::optional<TimePoint> &Earliest,
-                 std::optional<TimePoint> Time) {
-  if (Time && (!Earliest || *Time < *Earliest))
-    Earliest = Time;
-}
-
-std::optional<TimePoint> nextDue(const PoolState &State) {
-  std::optional<TimePoint> Next = nextSpillTime(State);
+std::optional<TimePoint> nextDue(const PoolState &State, TimePoint Now) {
+  std::optional<TimePoint> Next = nextSpillTime(State, Now);
   if (!State.m_Queue.m_Deadlines.empty())
     keepEarlier(Next, State.m_Queue.m_Deadlines.begin()->m_At);
   if (!State.m_Hedges.empty())
@@ -85,7 +79,7 @@
 
 void scheduleWake(Context &Step) {
   PoolState &State = Step.m_State;
-  std::optional<TimePoint> Next = nextDue(State);
+  std::optional<TimePoint> Next = nextDue(State, Step.m_Now);
   if (!Next)
     return;
   TimePoint Time = *Next > Step.m_Now ? *Next : Step.m_Now + OverdueWake;
--- a/libs/balancing/src/Invariants.cpp
+++ b/libs/balancing/src/Invariants.cpp
@@ -5,12 +5,12 @@
 
 namespace {
 
-/// Steps from one full check to the next.
+/// Least steps from one full check to the next; more if there is more to check.
 constexpr uint64_t FullCheckSteps = 64;
 
 void checkOwnedSend(const Context &Step, const ServerState &Server) {
   uint32_t Taken = Server.inFlight() + Server.m_AssumedInFlight + 1;
-  HYSSOPCROSS_INVARIANT(Taken <= Step.limits().m_Slots,
+  HYSSOPCROSS_INVARIANT(Taken <= Step.slots(),
                         "in flight at a server stays within its slots");
   HYSSOPCROSS_INVARIANT(Taken <= Server.m_Limit,
                         "in flight at a server stays within its limit");
@@ -54,6 +54,8 @@
                const ServerState &Server) {
   HYSSOPCROSS_INVARIANT(Server.m_Listed && !Server.m_Leaving,
                         "leaving servers get no new work");
+  HYSSOPCROSS_INVARIANT(Step.m_State.m_InService && !Step.m_State.m_Released,
+                        "a pool that does not serve sends nothing new");
   HYSSOPCROSS_INVARIANT(Call.m_Arrival.m_Deadline > Step.m_Now,
                         "no call is sent after its deadline");
   bool Lookup = Step.m_State.m_Entry.m_Class == catalogue::ServiceClass::Lookup;
@@ -65,7 +67,7 @@
 }
 
 void checkState(const Context &Step) {
-  const PoolState &State = Step.m_State;
+  PoolState &State = Step.m_State;
   HYSSOPCROSS_INVARIANT(State.m_Queue.size() <= Step.limits().m_Queue,
                         "the queue is bounded");
   const PoolCounters &Counters = State.m_Counters;
@@ -73,8 +75,11 @@
                    Counters.m_HandedOver + Counters.m_Abandoned;
   HYSSOPCROSS_INVARIANT(Counters.m_Arrived == Ended + State.m_Calls.size(),
                         "every call is open or has ended once");
-  if (State.m_Steps % FullCheckSteps == 0)
-    checkFully(State);
+  if (State.m_Steps < State.m_NextFullCheck)
+    return;
+  checkFully(State);
+  uint64_t Size = State.m_Calls.size() + State.m_Attempts.size();
+  State.m_NextFullCheck = State.m_Steps + std::max(FullCheckSteps, Size);
 }
 
 } // namespace hyssopcross::balancing
