Do not blame a server for attempts that ran out of time

Cause: an attempt that ends after its call's deadline, shed by the server for its deadline or given up by the host, dropped the server to its cold allowance. Under overload with short deadlines every server was dropped, so more calls ran out of time: goodput fell and did not return when the load did. Change: such an end counts as a lower bound of the latency only, so a server that never answers still shows as a jump.

--- a/libs/balancing/src/Attempts.cpp
+++ b/libs/balancing/src/Attempts.cpp
@@ -34,6 +34,14 @@
     dropToAllowance(Step, Server);
 }
 
+/// Whether the call's deadline has passed: then the attempt may have failed for
+/// want of time, which is not the server's fault.
+bool isOutOfTime(const Context &Step, const AttemptState &Attempt) {
+  auto Call = Step.m_State.m_Calls.find(Attempt.m_Call);
+  return Call != Step.m_State.m_Calls.end() &&
+         Call->second.m_Arrival.m_Deadline <= Step.m_Now;
+}
+
 /// Lets the end of an attempt count for its server. What was sent before the
 /// server's last change says nothing about it now.
 void countForServer(Context &Step, ServerState &Server,
@@ -44,6 +52,10 @@
   if (!SameProcess || (!SinceChange && Server.m_Stage != ServerStage::Warm))
     return;
   Duration Age = Step.m_Now - Attempt.m_Started;
+  if (Event.m_End != AttemptEnd::Completed && isOutOfTime(Step, Attempt)) {
+    countGivenUp(Step, Server, Age);
+    return;
+  }
   switch (Event.m_End) {
   case AttemptEnd::Completed:
     countCompletion(Step, Server, Age);
