--- a/tools/bench-policies/Measure.cpp
+++ b/tools/bench-policies/Measure.cpp
@@ -12,6 +12,8 @@
 
 constexpr Duration SampleEvery = 50ms;
 constexpr size_t SamplesPerWindow = 40; // 2 s
+/// Work that may wait, in samples of the servers' capacity.
+constexpr double SamplesCarried = 2;
 /// Time after the load's measured part in which calls may still end.
 constexpr Duration Tail = 1s;
 
@@ -31,26 +33,38 @@
   return Sorted[std::clamp<size_t>(Rank, 1, Sorted.size()) - 1];
 }
 
-/// Work asked for, done and possible in one sample, in milliseconds.
+/// Work asked for, done, possible and due in one sample, in milliseconds.
 struct Sample {
   double m_Asked = 0;
   double m_Done = 0;
   double m_Possible = 0;
+  double m_Due = 0;
 };
 
+/// Work that one queue for all servers would have done in each sample, with at
+/// most SamplesCarried of waiting work.
+void addDue(std::vector<Sample> &Samples) {
+  double Carried = 0;
+  for (Sample &Sample : Samples) {
+    double Offered = Sample.m_Asked + Carried;
+    Sample.m_Due = std::min(Offered, Sample.m_Possible);
+    double Most = Sample.m_Possible * SamplesCarried;
+    Carried = std::min(Offered - Sample.m_Due, Most);
+  }
+}
+
 double lowestService(const std::vector<Sample> &Samples) {
   double Lowest = 1;
-  size_t First = static_cast<size_t>(WarmUp / SampleEvery);
+  auto First = static_cast<size_t>(WarmUp / SampleEvery);
   for (size_t I = First; I + SamplesPerWindow <= Samples.size(); ++I) {
-    Sample Sum;
+    double Due = 0;
+    double Done = 0;
     for (size_t J = I; J < I + SamplesPerWindow; ++J) {
-      Sum.m_Asked += Samples[J].m_Asked;
-      Sum.m_Done += Samples[J].m_Done;
-      Sum.m_Possible += Samples[J].m_Possible;
+      Due += Samples[J].m_Due;
+      Done += Samples[J].m_Done;
     }
-    double Due = std::min(Sum.m_Asked, Sum.m_Possible);
     if (Due > 0)
-      Lowest = std::min(Lowest, Sum.m_Done / Due);
+      Lowest = std::min(Lowest, Done / Due);
   }
   return Lowest;
 }
@@ -125,6 +139,7 @@
   }
   Bed.runUntil(Spec.m_Case->m_Length + Tail);
   addCalls(Bed, Samples);
+  addDue(Samples);
   Figures Result = evaluate(Bed, Spec.m_Case->m_Length);
   Result.m_LowestService = lowestService(Samples);
   return Result;
--- a/tools/bench-policies/Measure.h
+++ b/tools/bench-policies/Measure.h
@@ -19,8 +19,8 @@
   double m_NotRun = 0;
   /// Calls told "unknown", and calls without an answer.
   double m_Unknown = 0;
-  /// The lowest service over any two seconds, as a share of the demand or, if
-  /// that is lower, of the capacity of the warm servers in service.
+  /// The lowest service over any two seconds, as a share of what one queue for
+  /// all warm servers in service would have done.
   double m_LowestService = 1;
 };
 
