--- a/libs/ownership/include/hyssopcross/ownership/Ownership.h
+++ b/libs/ownership/include/hyssopcross/ownership/Ownership.h
@@ -150,18 +150,27 @@
 /// Everything about one pool.
 struct PoolLease {
   Role m_Role = Role::Watching;
+  /// The status last reported by LeaseChanged.
+  LeaseStatus m_Reported = LeaseStatus::NotOwner;
+  bool m_EverRead = false;
+  /// The row was malformed or of a lower epoch.
+  bool m_Rejected = false;
+  /// The store could not be reached since the row was last seen.
+  bool m_SightLost = false;
+  /// The row must be read before the next write.
+  bool m_ReadBack = false;
+  /// A release whose result is unknown may still take effect.
+  bool m_ReleaseMayApply = false;
+  /// The previous owner has released the pool to this VM.
+  bool m_Planned = false;
   /// The candidates in descending rank.
   std::vector<std::string> m_Ranked;
   /// The row as last seen, and its version; zero if it is absent.
   std::optional<LeaseRow> m_Row;
   uint64_t m_Version = 0;
-  bool m_EverRead = false;
-  /// The row was malformed or of a lower epoch.
-  bool m_Rejected = false;
   /// When this version was first seen, on this VM's clock; or seen again after
   /// the store could not be reached, so that the owner can renew first.
   TimePoint m_SeenAt;
-  bool m_SightLost = false;
   /// When the row was last read.
   TimePoint m_ReadAt;
   /// The request that is under way; zero for none.
@@ -170,14 +179,10 @@
   TimePoint m_RetryAt;
   /// Writes of this VM that may have taken effect or still may, oldest first.
   std::deque<SentWrite> m_Sent;
-  /// The row must be read before the next write.
-  bool m_ReadBack = false;
   /// When the newest write of this VM that is known to have taken effect was
   /// sent; the lease counts from there.
   TimePoint m_ValidFrom;
   TimePoint m_NextRenewal;
-  /// The status last reported by LeaseChanged.
-  LeaseStatus m_Reported = LeaseStatus::NotOwner;
   uint64_t m_HighestEpoch = 0;
   /// Until when this VM has promised not to take the lease. For a pool that is
   /// new to it, the time that an earlier promise could last.
@@ -186,17 +191,13 @@
   /// epoch.
   std::map<Elector, ReceivedPromise> m_Promises;
   std::optional<HandOver> m_HandOver;
-  /// A release whose result is unknown may still take effect.
-  bool m_ReleaseMayApply = false;
   /// VMs that did not accept an offer of this pool during the stop.
   std::set<std::string> m_Refused;
   /// A hand-over to this VM has been accepted: its row is read often until
   /// then.
   TimePoint m_ExpectUntil;
-  /// The owner before this VM, as far as known, and whether it has released
-  /// the pool.
+  /// The owner before this VM, as far as known.
   std::string m_Predecessor;
-  bool m_Planned = false;
 };
 
 /// A write of one pool's row.
--- a/libs/ownership/tests/World.cpp
+++ b/libs/ownership/tests/World.cpp
@@ -61,7 +61,7 @@
   at(m_Now + delay(1000), [this] { tellCandidates(); });
 }
 
-void World::tick(Vm &Subject, std::shared_ptr<Process> Run) {
+void World::tick(Vm &Subject, const std::shared_ptr<Process> &Run) {
   if (Run->m_Dead)
     return;
   if (m_Now >= Run->m_PausedUntil)
@@ -70,7 +70,7 @@
 }
 
 void World::tell(Vm &Subject, const std::shared_ptr<Process> &Run,
-                 Event Happened) {
+                 const Event &Happened) {
   if (Run->m_Dead)
     return;
   if (m_Now < Run->m_PausedUntil) {
--- a/libs/ownership/tests/World.h
+++ b/libs/ownership/tests/World.h
@@ -104,8 +104,9 @@
   Duration delay(int MostMilliseconds);
   TimePoint local(const Process &Run) const;
   void start(Vm &Subject);
-  void tell(Vm &Subject, const std::shared_ptr<Process> &Run, Event Happened);
-  void tick(Vm &Subject, std::shared_ptr<Process> Run);
+  void tell(Vm &Subject, const std::shared_ptr<Process> &Run,
+            const Event &Happened);
+  void tick(Vm &Subject, const std::shared_ptr<Process> &Run);
   void tellCandidates();
   void perform(Vm &Subject, const std::shared_ptr<Process> &Run,
                const Action &Wanted);
--- a/tools/bench-membership/Main.cpp
+++ b/tools/bench-membership/Main.cpp
@@ -37,6 +37,7 @@
   std::unique_ptr<MembershipState> m_State;
   addresses::OwnerTable m_Owners;
   bool m_Up = true;
+  TimePoint m_WakeAt;
 };
 
 struct Delivery {
@@ -83,7 +84,8 @@
       m_Now += Tick;
       deliverDue();
       for (size_t Index = 0; Index < m_Vms.size(); ++Index)
-        tell(Index, Woke{});
+        if (m_Vms[Index].m_WakeAt <= m_Now)
+          tell(Index, Woke{});
       if (!Replace || m_Now < NextReplacement)
         continue;
       NextReplacement += ReplaceEvery;
@@ -133,7 +135,8 @@
     m_Vms.push_back(
         {std::make_unique<MembershipState>(Self, MembershipPolicy{}, m_Now),
          {},
-         true});
+         true,
+         m_Now});
     m_List.push_back({Name, platform::VmRole::Entry, platform::VmState::Live,
                       Self.m_DataCentre, Self.m_Address, Self.m_PeerAddress,
                       ""});
@@ -187,7 +190,9 @@
   }
 
   void perform(size_t From, const Action &Wanted) {
-    if (const auto *Sent = std::get_if<SendHeartbeat>(&Wanted)) {
+    if (const auto *Wake = std::get_if<WakeAt>(&Wanted)) {
+      m_Vms[From].m_WakeAt = Wake->m_Time;
+    } else if (const auto *Sent = std::get_if<SendHeartbeat>(&Wanted)) {
       m_Totals.m_HeartbeatBytes += encodedSize(Sent->m_Message);
       Duration Before = processorTime();
       auto Owners =
