--- a/libs/addresses/src/Routing.cpp
+++ b/libs/addresses/src/Routing.cpp
@@ -91,6 +91,7 @@
                        return A.m_Crossing < B.m_Crossing;
                      });
   std::vector<OwnerRoute> Routes;
+  Routes.reserve(Found.size());
   for (Ordered &Entry : Found)
     Routes.push_back(std::move(Entry.m_Route));
   return Routes;
--- a/libs/membership/include/hyssopcross/membership/Membership.h
+++ b/libs/membership/include/hyssopcross/membership/Membership.h
@@ -92,6 +92,7 @@
   bool m_Leaving = false;
   TimePoint m_LastStep;
   TimePoint m_NextBeat;
+  TimePoint m_NextExpiry;
   TimePoint m_NextListPoll;
   /// The poller to ask next, if the last one did not answer.
   uint64_t m_ListTurn = 0;
--- a/libs/membership/src/Expiry.cpp
+++ b/libs/membership/src/Expiry.cpp
@@ -8,6 +8,9 @@
 /// call it dead themselves, since a refutation takes longer to reach them.
 constexpr int UnwatchedFactor = 4;
 
+/// Silence is looked at this often, and not with each event.
+constexpr int ExpiriesPerInterval = 4;
+
 void expireWatched(Context &Step, Member &Known) {
   const MembershipPolicy &Policy = Step.m_State.m_Policy;
   Duration Silence = Step.m_Now - Known.m_HeardAt;
@@ -113,6 +116,10 @@
 }
 
 void expire(Context &Step) {
+  if (Step.m_Now < Step.m_State.m_NextExpiry)
+    return;
+  Step.m_State.m_NextExpiry =
+      Step.m_Now + Step.m_State.m_Policy.m_Interval / ExpiriesPerInterval;
   expireDataCentres(Step);
   for (auto &[Name, Known] : Step.m_State.m_Members)
     expireMember(Step, Known);
--- a/libs/ownership/include/hyssopcross/ownership/LeaseRow.h
+++ b/libs/ownership/include/hyssopcross/ownership/LeaseRow.h
@@ -5,6 +5,7 @@
 #include "hyssopcross/base/Error.h"
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace hyssopcross::ownership {
@@ -28,7 +29,11 @@
   std::string m_Name;
   uint64_t m_Incarnation = 0;
 
-  friend auto operator<=>(const Elector &, const Elector &) = default;
+  friend bool operator==(const Elector &, const Elector &) = default;
+  friend bool operator<(const Elector &A, const Elector &B) {
+    return std::tie(A.m_Name, A.m_Incarnation) <
+           std::tie(B.m_Name, B.m_Incarnation);
+  }
 };
 
 /// The value of a pool's row in the platform's table. A row is never deleted,
--- a/libs/ownership/tests/LeaseTest.cpp
+++ b/libs/ownership/tests/LeaseTest.cpp
@@ -242,3 +242,48 @@
   CHECK(static_cast<double>(Run.m_Reads - Reads) / Seconds <=
         24 / 1.9 + 24 / 2.9 + 24 * 3 / 29.0);
 }
+
+TEST_CASE("two mechanisms that only a certain course of faults needs") {
+  struct Row {
+    std::string m_Name;
+    bool OwnershipPolicy::*m_Switch;
+    void (*m_Script)(World &, uint32_t Owner);
+  };
+  const Row Rows[] = {
+      {"an answer comes late, then the owner is cut off",
+       &OwnershipPolicy::m_ValidFromSend,
+       [](World &Run, uint32_t Owner) {
+         Run.inject({FaultKind::AnswersLost, Owner, 100, 50});
+         Run.inject({FaultKind::StoreCut, Owner, 148, 200});
+         Run.inject({FaultKind::NetCut, Owner, 148, 200});
+         Run.runUntil(300);
+       }},
+      {"an elector has taken the lease and handed it on",
+       &OwnershipPolicy::m_PromiseOnlyWhatWasRead,
+       [](World &Run, uint32_t Owner) {
+         std::string Elector = Run.row(Boletas)->m_Electors.front().m_Name;
+         Run.inject({FaultKind::StoreCut, Owner, 100, 300});
+         Run.inject({FaultKind::NetCut, Owner, 100, 120});
+         auto Number = static_cast<uint32_t>(std::stoul(Elector.substr(3)));
+         Run.inject({FaultKind::Stop, Number, 210, 0});
+         Run.runUntil(400);
+       }},
+  };
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.m_Name);
+    for (bool On : {true, false}) {
+      size_t Broken = 0;
+      for (uint64_t Seed = 1; Seed <= 30; ++Seed) {
+        World::Setup Setup = smallSetup();
+        Setup.m_Seed = Seed;
+        Setup.m_Policy.m_Electors = 1;
+        Setup.m_Policy.*Case.m_Switch = On;
+        World Run(Setup);
+        Run.runUntil(100);
+        Case.m_Script(Run, ownerOf(Run, Boletas));
+        Broken += Run.m_Broken.empty() ? 0 : 1;
+      }
+      CHECK((Broken == 0) == On);
+    }
+  }
+}
--- a/libs/ownership/tests/RandomTest.cpp
+++ b/libs/ownership/tests/RandomTest.cpp
@@ -89,6 +89,13 @@
   }
 }
 
+TEST_CASE("nor with clocks that run far apart, within the bound") {
+  auto Result = runMany(8, 60, true, [](World::Setup &Setup) {
+    Setup.m_Drift = Setup.m_Policy.m_Drift = 0.2;
+  });
+  CHECK(Result.is<rc::detail::SuccessResult>());
+}
+
 TEST_CASE("each mechanism is needed: without it a run finds two owners") {
   struct Row {
     std::string m_Name;
@@ -107,6 +114,14 @@
        200},
       {"clock not checked",
        [](auto &Setup) { Setup.m_Policy.m_CheckClock = false; }, 100},
+      {"drift not allowed for",
+       [](auto &Setup) {
+         Setup.m_Drift = Setup.m_Policy.m_Drift = 0.2;
+         Setup.m_Policy.m_AllowDrift = false;
+       },
+       300},
+      {"electors named without their run",
+       [](auto &Setup) { Setup.m_Policy.m_ElectRuns = false; }, 400},
       {"unknown writes taken for committed",
        [](auto &Setup) { Setup.m_Policy.m_ReadBack = false; }, 200},
   };
--- a/libs/ownership/tests/World.cpp
+++ b/libs/ownership/tests/World.cpp
@@ -179,22 +179,26 @@
 void World::perform(Vm &Subject, const std::shared_ptr<Process> &Run,
                     const CommitLease &Wanted) {
   bool Late = faulty(Subject, FaultKind::WritesLate);
-  bool Lost = Late || faulty(Subject, FaultKind::AnswersLost);
+  bool AnswerLost = faulty(Subject, FaultKind::AnswersLost);
+  bool Lost = Late || AnswerLost;
   if (Late && m_Random() % 2 == 0) {
     at(m_Now + delay(200), [this, &Subject, Run, Wanted] {
       tell(Subject, Run, CommitEnded{Wanted.m_Request, CommitEnd::Unknown});
     });
     return;
   }
-  at(m_Now + delay(Late ? 8000 : 20), [this, &Subject, Run, Wanted, Lost] {
+  at(m_Now + delay(Late ? 8000 : 20), [this, &Subject, Run, Wanted, Lost,
+                                       AnswerLost] {
     bool Reached =
         m_Now >= m_StoreDownUntil && !faulty(Subject, FaultKind::StoreCut);
     CommitEnd End = Reached ? commit(Wanted.m_Writes) : CommitEnd::Unavailable;
     if (Lost)
       End = CommitEnd::Unknown;
-    at(m_Now + delay(20), [this, &Subject, Run, Wanted, End] {
-      tell(Subject, Run, CommitEnded{Wanted.m_Request, End});
-    });
+    // What is lost shows only when the connection times out.
+    at(m_Now + delay(AnswerLost ? 2500 : 20),
+       [this, &Subject, Run, Wanted, End] {
+         tell(Subject, Run, CommitEnded{Wanted.m_Request, End});
+       });
   });
 }
 
