--- a/libs/addresses/tests/AddressesTest.cpp
+++ b/libs/addresses/tests/AddressesTest.cpp
@@ -218,47 +218,47 @@
     PoolId m_Pool;
     uint32_t m_Hops;
     void (*m_Change)(RoutingView &);
-    ForwardKind m_Kind;
     std::string m_Vm;
+    ForwardKind m_Kind;
     ForwardRefusal m_Refusal;
   };
   const PoolId Here{"boletas", "arequipa"};
   const PoolId There{"boletas", "cusco"};
   const auto Nothing = [](RoutingView &) {};
   const Row Rows[] = {
-      {"own pool", Here, 0, Nothing, ForwardKind::ServeHere, "arequipa-1",
+      {"own pool", Here, 0, Nothing, "arequipa-1", ForwardKind::ServeHere,
        ForwardRefusal::None},
-      {"own pool after a forward", Here, 1, Nothing, ForwardKind::ServeHere,
-       "arequipa-1", ForwardRefusal::None},
-      {"another's pool", There, 0, Nothing, ForwardKind::Forward, "cusco-1",
+      {"own pool after a forward", Here, 1, Nothing, "arequipa-1",
+       ForwardKind::ServeHere, ForwardRefusal::None},
+      {"another's pool", There, 0, Nothing, "cusco-1", ForwardKind::Forward,
        ForwardRefusal::None},
       {"another's pool after a forward, own one left", There, 1, Nothing,
-       ForwardKind::ServeHere, "arequipa-1", ForwardRefusal::None},
+       "arequipa-1", ForwardKind::ServeHere, ForwardRefusal::None},
       {"no own pool after a forward", There, 1,
-       [](RoutingView &View) { View.m_Self = "arequipa-2"; },
-       ForwardKind::Refuse, "", ForwardRefusal::TooManyHops},
+       [](RoutingView &View) { View.m_Self = "arequipa-2"; }, "",
+       ForwardKind::Refuse, ForwardRefusal::TooManyHops},
       {"unknown service",
        {"nothing", "cusco"},
        0,
        Nothing,
-       ForwardKind::Refuse,
        "",
+       ForwardKind::Refuse,
        ForwardRefusal::UnknownService},
-      {"no owner", There, 0, [](RoutingView &View) { View.m_Owners = {}; },
-       ForwardKind::Refuse, "", ForwardRefusal::NoOwner},
+      {"no owner", There, 0, [](RoutingView &View) { View.m_Owners = {}; }, "",
+       ForwardKind::Refuse, ForwardRefusal::NoOwner},
       {"data centre out: the next one", Here, 0,
        [](RoutingView &View) {
          View.m_Catalogue.m_DataCentres["arequipa"].m_InService = false;
        },
-       ForwardKind::Forward, "cusco-1", ForwardRefusal::None},
+       "cusco-1", ForwardKind::Forward, ForwardRefusal::None},
       {"leaving, still the owner", Here, 0,
        [](RoutingView &View) {
          setStatus(View, "arequipa-1", VmStatus::Leaving);
        },
-       ForwardKind::ServeHere, "arequipa-1", ForwardRefusal::None},
+       "arequipa-1", ForwardKind::ServeHere, ForwardRefusal::None},
       {"the owner is suspect: the next pool", There, 0,
        [](RoutingView &View) { setStatus(View, "cusco-1", VmStatus::Suspect); },
-       ForwardKind::ServeHere, "arequipa-1", ForwardRefusal::None},
+       "arequipa-1", ForwardKind::ServeHere, ForwardRefusal::None},
   };
   for (const Row &Case : Rows) {
     CAPTURE(Case.m_Name);
--- a/libs/ownership/tests/LeaseTest.cpp
+++ b/libs/ownership/tests/LeaseTest.cpp
@@ -287,3 +287,37 @@
     }
   }
 }
+
+TEST_CASE("a pool that is new to a VM may have been promised by it before") {
+  LeaseRow Held;
+  Held.m_Owner = "vm-1";
+  Held.m_Epoch = 1;
+  Held.m_TimeToLive = 6s;
+  Held.m_Electors = {{"vm-2", 2}};
+  for (bool Wait : {true, false}) {
+    OwnershipPolicy Policy;
+    Policy.m_PromiseTime = 30s;
+    Policy.m_WaitAfterStart = Wait;
+    TimePoint Now{1h};
+    OwnershipState State({"vm-2", 2, "arequipa", ""}, Policy, Now, 1);
+    std::vector<Action> Actions;
+    step(State, CandidatesChanged{{{"vm-2", 2, "arequipa", ""}}}, Now, Actions);
+    step(State, PoolsChanged{{Boletas}}, Now, Actions);
+    size_t Taken = 0;
+    for (int Tenth = 0; Tenth < 200; ++Tenth) {
+      std::vector<Action> Before = std::move(Actions);
+      Actions.clear();
+      for (const Action &Wanted : Before) {
+        Taken += std::holds_alternative<CommitLease>(Wanted) ? 1 : 0;
+        if (const auto *Read = std::get_if<ReadLease>(&Wanted))
+          step(State,
+               ReadSucceeded{Read->m_Request,
+                             platform::Row{encodeLeaseRow(Held), 5}},
+               Now, Actions);
+      }
+      Now += 100ms;
+      step(State, Woke{}, Now, Actions);
+    }
+    CHECK((Taken == 0) == Wait);
+  }
+}
