--- a/libs/membership/tests/Fleet.cpp
+++ b/libs/membership/tests/Fleet.cpp
@@ -72,7 +72,7 @@
 }
 
 void Fleet::tell(const std::string &Name, uint64_t Incarnation,
-                 Event Happened) {
+                 const Event &Happened) {
   Vm &Told = m_Vms.at(Name);
   if (!Told.m_Up || Told.m_State->m_Self.m_Incarnation != Incarnation)
     return;
@@ -110,7 +110,8 @@
   }
 }
 
-void Fleet::deliver(const VmInfo &From, const std::string &To, Event Happened) {
+void Fleet::deliver(const VmInfo &From, const std::string &To,
+                    const Event &Happened) {
   auto Found = m_Vms.find(To);
   if (Found == m_Vms.end() || !Found->second.m_Up || m_Random() % 100 < m_Loss)
     return;
@@ -143,7 +144,11 @@
       bool Alive = seen(By, Of) == VmStatus::Alive;
       bool Expected = Observed.m_Up && !Observed.m_State->m_Leaving;
       if (Alive != Expected)
-        return By + " sees " + Of + " as " + vmStatusName(seen(By, Of));
+        return std::string(By)
+            .append(" sees ")
+            .append(Of)
+            .append(" as ")
+            .append(vmStatusName(seen(By, Of)));
     }
   }
   return "";
--- a/libs/membership/tests/Fleet.h
+++ b/libs/membership/tests/Fleet.h
@@ -57,9 +57,11 @@
   void at(TimePoint When, std::function<void()> What) {
     m_Events.emplace(When, std::move(What));
   }
-  void tell(const std::string &Name, uint64_t Incarnation, Event Happened);
+  void tell(const std::string &Name, uint64_t Incarnation,
+            const Event &Happened);
   void perform(const VmInfo &From, const Action &Wanted);
-  void deliver(const VmInfo &From, const std::string &To, Event Happened);
+  void deliver(const VmInfo &From, const std::string &To,
+               const Event &Happened);
   void tick(const std::string &Name, uint64_t Incarnation);
 
   MembershipPolicy m_Policy;
--- a/libs/membership/tests/MembershipTest.cpp
+++ b/libs/membership/tests/MembershipTest.cpp
@@ -34,6 +34,7 @@
 
 TEST_CASE("rendezvous ranks move only what a lost node held") {
   std::vector<std::string> Nodes;
+  Nodes.reserve(20);
   for (int Index = 0; Index < 20; ++Index)
     Nodes.push_back(name(Index));
   std::vector<std::string> Fewer(Nodes.begin() + 1, Nodes.end());
@@ -241,7 +242,7 @@
          uint64_t Most = 0;
          for (const auto &[Name, Bytes] : Vms->m_BytesSent)
            Most = std::max(Most, Bytes);
-         return Most < 60 * 1500;
+         return Most < uint64_t{60} * 1500;
        }},
   };
   for (const Row &Case : Rows) {
--- a/tools/bench-membership/Main.cpp
+++ b/tools/bench-membership/Main.cpp
@@ -248,7 +248,7 @@
   const Size Sizes[] = {
       {6, 3, 4}, {12, 3, 4}, {18, 3, 4}, {100, 11, 24}, {300, 11, 24}};
   std::printf("per VM and second; replaced: one VM every 20 s; spread: until "
-              "no VM holds a killed one for alive\n");
+              "no VM holds a killed one for alive, at most 120 s\n");
   std::printf("%5s %4s %6s %10s %8s %8s %9s %9s %10s %9s %8s\n", "vms", "dcs",
               "svcs", "heartbeatB", "ownersB", "listB", "messages", "cpu_ns",
               "replacedB", "cpu_ns", "spread_s");
