Wire the pool's release, peers and exact takeovers into the daemon

Cause: a pool that was given up refused its queue instead of sending it to the next owner, a planned takeover counted every slot as taken, a send denied by a claim counted against the server, and a VM restarted under its name kept the catalogue version of its run before.

--- a/libs/backend/include/hyssopcross/backend/Exchange.h
+++ b/libs/backend/include/hyssopcross/backend/Exchange.h
@@ -38,6 +38,8 @@
   std::vector<std::pair<std::string, std::string>> m_Headers;
   std::string m_Body;
   std::optional<balancing::LoadReport> m_Report;
+  /// False if nothing was sent for a reason that is not the server's.
+  bool m_ServerFault = true;
   /// Why the exchange did not complete; empty if it did.
   std::string m_Detail;
 };
--- a/libs/entry/include/hyssopcross/entry/Control.h
+++ b/libs/entry/include/hyssopcross/entry/Control.h
@@ -148,6 +148,7 @@
   bool inService(const std::string &DataCentre) const;
 
   std::string peerAddressOf(const std::string &Vm) const;
+  void listPeers();
   void publish();
 
   ControlSettings m_Settings;
@@ -157,6 +158,8 @@
   membership::MembershipState m_Membership;
   catalogue::FollowerState m_Follower;
   catalogue::InForceState m_InForce;
+  /// The run of each VM whose catalogue version is known.
+  std::map<std::string, uint64_t> m_Incarnations;
   addresses::OwnerTable m_Owners;
   std::vector<platform::VmRecord> m_Records;
   std::vector<platform::VmRecord> m_WholeList;
--- a/libs/entry/include/hyssopcross/entry/Pools.h
+++ b/libs/entry/include/hyssopcross/entry/Pools.h
@@ -36,8 +36,8 @@
            const std::vector<balancing::ServerRecord> &Servers,
            const balancing::TookOver &Digest);
 
-  /// Stops to decide for a pool: what is queued is refused or handed over, and
-  /// what runs runs on.
+  /// Stops to decide for a pool: what is queued goes to the pool's next owner,
+  /// and what runs runs on.
   void remove(const balancing::PoolId &Pool);
 
   /// Connections to backend servers, shared by all pools.
--- a/libs/entry/src/Control.cpp
+++ b/libs/entry/src/Control.cpp
@@ -76,8 +76,20 @@
   return m_Catalogue;
 }
 
+void Control::listPeers() {
+  for (const auto &[Id, Host] : m_Parts.m_Pools.all()) {
+    balancing::PeersListed Peers;
+    for (const auto &[Other, Owner] : m_Owners.m_Owners)
+      if (Other.m_Service == Id.m_Service && Other != Id &&
+          !Owner.m_Owner.empty() && inService(Other.m_DataCentre))
+        Peers.m_Pools.push_back(Other);
+    Host->apply(Peers);
+  }
+}
+
 void Control::publish() {
   m_PublishDue = false;
+  listPeers();
   auto View = std::make_shared<addresses::RoutingView>();
   View->m_Self = m_Settings.m_Self.m_Name;
   View->m_DataCentre = m_Settings.m_Self.m_DataCentre;
--- a/libs/entry/src/ControlMembership.cpp
+++ b/libs/entry/src/ControlMembership.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Share of a heartbeat for the owners of pools, in bytes.
-constexpr size_t OwnerDigestBytes = 160;
+constexpr size_t OwnerDigestBytes = 80;
 
 /// Catalogue versions of other VMs passed on in a heartbeat.
 constexpr size_t VersionsInHeartbeat = 4;
@@ -99,9 +99,16 @@
   for (const membership::MemberView &Each :
        membership::view(m_Membership, Now).m_Members) {
     Known.insert(Each.m_Info.m_Name);
+    uint64_t &Incarnation = m_Incarnations[Each.m_Info.m_Name];
+    if (Incarnation != 0 && Incarnation != Each.m_Info.m_Incarnation)
+      catalogue::forgetVm(m_InForce, Each.m_Info.m_Name);
+    Incarnation = Each.m_Info.m_Incarnation;
     if (Each.m_Status == membership::VmStatus::Alive)
       Live.insert(Each.m_Info.m_Name);
   }
+  std::erase_if(m_Incarnations, [&Known](const auto &Each) {
+    return !Known.contains(Each.first);
+  });
   // A VM that the platform lists and that was not heard yet may still take
   // part; without it, a version would count as in force too early.
   if (Now - m_WholeListAt < ListFreshness)
--- a/libs/entry/src/ControlOwnership.cpp
+++ b/libs/entry/src/ControlOwnership.cpp
@@ -104,6 +104,7 @@
   Digest.m_Digest = m_Digests[Action.m_Pool];
   Digest.m_Until =
       Now + (Action.m_Planned ? HandOverInFlight : std::max(Left, Duration{}));
+  Digest.m_Exact = Action.m_Planned;
   m_Digests.erase(Action.m_Pool);
   logEvent(LogLevel::Info, "pool_taken",
            {{"service", Action.m_Pool.m_Service},
@@ -150,9 +151,12 @@
 
 void Control::updateCandidates() {
   ownership::CandidatesChanged Event;
+  membership::View Members =
+      membership::view(m_Membership, m_Parts.m_Clock.now());
+  if (!Members.m_Fresh)
+    return;
   if (m_Follower.m_Current) {
-    for (const membership::MemberView &Each :
-         membership::view(m_Membership, m_Parts.m_Clock.now()).m_Members) {
+    for (const membership::MemberView &Each : Members.m_Members) {
       const membership::VmInfo &Info = Each.m_Info;
       if (Each.m_Status != membership::VmStatus::Alive ||
           m_Follower.m_Current->m_VmsOut.contains(Info.m_Name) ||
--- a/libs/entry/src/PoolHost.cpp
+++ b/libs/entry/src/PoolHost.cpp
@@ -127,7 +127,8 @@
   if (Posted)
     return;
   --Call->m_Helping;
-  m_Pending.push_back(AttemptEnded{Action.m_Attempt, AttemptEnd::NotSent, {}});
+  m_Pending.push_back(
+      AttemptEnded{Action.m_Attempt, AttemptEnd::NotSent, {}, false});
 }
 
 void PoolHost::carryOut(const CancelAttempt &Action) {
@@ -195,7 +196,8 @@
     m_Servers.release(Attempt.m_Server, std::move(Used));
     reportConnectionsLocked(Attempt.m_Server);
   }
-  AttemptEnded Ended{Attempt.m_Attempt, Answer.m_End, Answer.m_Report};
+  AttemptEnded Ended{Attempt.m_Attempt, Answer.m_End, Answer.m_Report,
+                     Answer.m_ServerFault};
   Call.m_Answers[Attempt.m_Attempt] = std::move(Answer);
   stepLocked(Ended);
 }
@@ -208,6 +210,9 @@
     Lock.unlock();
     Answer = send(Call.m_Call, *Used);
     Lock.lock();
+  } else {
+    Answer.m_Detail = "cancelled, or the lease has run out";
+    Answer.m_ServerFault = false;
   }
   endAttemptLocked(Call, Attempt, std::move(Used), std::move(Answer));
 }
@@ -217,6 +222,7 @@
   backend::ServerAnswer Answer;
   if (Call.m_Gate && !Call.m_Gate->maySend()) {
     Answer.m_Detail = "the send was not allowed";
+    Answer.m_ServerFault = false;
     return Answer;
   }
   Duration Left = Call.m_Deadline - m_Clock.now();
@@ -226,6 +232,7 @@
     Answer = Used.exchange(Request);
   } else {
     Answer.m_Detail = "the deadline has passed";
+    Answer.m_ServerFault = false;
   }
   if (Call.m_Gate)
     Call.m_Gate->sendEnded(Answer);
--- a/libs/entry/src/Pools.cpp
+++ b/libs/entry/src/Pools.cpp
@@ -50,9 +50,7 @@
     std::unique_lock Lock(m_Mutex);
     m_Pools.erase(Pool);
   }
-  catalogue::ServiceEntry Entry = Host->inspect(
-      [](const balancing::PoolState &State) { return State.m_Entry; });
-  Host->apply(balancing::EntryChanged{Entry, /*m_InService=*/false});
+  Host->apply(balancing::Released{});
 }
 
 void Pools::end() {
--- a/libs/entry/src/Router.cpp
+++ b/libs/entry/src/Router.cpp
@@ -287,7 +287,8 @@
 CallerAnswer Router::handOver(const IncomingCall &Call, const PoolId &Pool) {
   std::shared_ptr<const RoutingView> View = m_Parts.m_Control.routing();
   auto Owner = View->m_Owners.m_Owners.find(Pool);
-  if (Owner == View->m_Owners.m_Owners.end())
+  if (Owner == View->m_Owners.m_Owners.end() ||
+      Owner->second.m_Owner == View->m_Self)
     return answerNoOwner({});
   auto Member = View->m_Members.find(Owner->second.m_Owner);
   if (Member == View->m_Members.end())
