--- a/libs/catalogue/include/hyssopcross/catalogue/InForce.h
+++ b/libs/catalogue/include/hyssopcross/catalogue/InForce.h
@@ -10,7 +10,7 @@
 
 namespace hyssopcross::catalogue {
 
-/// The version that a VM has confirmed, and when this VM learned of it.
+/// The version that a VM has confirmed, and when this VM learned that it rose.
 struct SeenVersion {
   uint64_t m_Version = 0;
   TimePoint m_At;
@@ -20,8 +20,10 @@
 struct InForceState {
   std::set<std::string> m_Live;
   std::map<std::string, SeenVersion> m_Seen;
-  /// Where the next versionsToPass() starts.
-  std::string m_Cursor;
+  /// Where the next versionsToPass() to a receiver starts, for VMs of which a
+  /// new version was learned lately and for the others.
+  std::map<std::string, std::string> m_RecentCursors;
+  std::map<std::string, std::string> m_Cursors;
 };
 
 /// The version of one VM, as told on.
@@ -40,9 +42,12 @@
 /// is ignored: versions only rise on a VM.
 void observe(InForceState &State, const VmVersion &Seen, TimePoint Now);
 
-/// Up to Max versions to pass on in the next heartbeat, in turn, so that all
-/// VMs learn all versions without a message from all to all.
-std::vector<VmVersion> versionsToPass(InForceState &State, size_t Max);
+/// Up to Max versions to pass on in the next heartbeat to a receiver: of those
+/// that rose lately first, then of the others, each in turn. So all VMs learn
+/// all versions without a message from all to all.
+std::vector<VmVersion> versionsToPass(InForceState &State,
+                                      const std::string &Receiver, size_t Max,
+                                      TimePoint Now);
 
 /// Where a version stands.
 struct InForceStatus {
--- a/libs/catalogue/src/InForce.cpp
+++ b/libs/catalogue/src/InForce.cpp
@@ -1,12 +1,40 @@
 #include "hyssopcross/catalogue/InForce.h"
+#include <algorithm>
 
 namespace hyssopcross::catalogue {
 
+namespace {
+
+/// How long a version that rose is passed on before others.
+constexpr Duration RecentFor = std::chrono::seconds(10);
+
+/// Appends the versions of the VMs that follow the cursor, until Max are
+/// passed or each is.
+void passInTurn(const InForceState &State, const std::vector<std::string> &Vms,
+                std::string &Cursor, size_t Max,
+                std::vector<VmVersion> &Passed) {
+  auto Next = std::upper_bound(Vms.begin(), Vms.end(), Cursor);
+  for (size_t Left = Vms.size(); Left > 0 && Passed.size() < Max; --Left) {
+    if (Next == Vms.end())
+      Next = Vms.begin();
+    Passed.push_back({*Next, State.m_Seen.at(*Next).m_Version});
+    Cursor = *Next;
+    ++Next;
+  }
+}
+
+} // namespace
+
 void setLive(InForceState &State, std::set<std::string> Live) {
   State.m_Live = std::move(Live);
   std::erase_if(State.m_Seen, [&](const auto &Entry) {
     return !State.m_Live.contains(Entry.first);
   });
+  auto Gone = [&](const auto &Entry) {
+    return !State.m_Live.contains(Entry.first);
+  };
+  std::erase_if(State.m_RecentCursors, Gone);
+  std::erase_if(State.m_Cursors, Gone);
 }
 
 void forgetVm(InForceState &State, const std::string &Vm) {
@@ -16,24 +44,22 @@
 void observe(InForceState &State, const VmVersion &Seen, TimePoint Now) {
   if (!State.m_Live.contains(Seen.m_Vm))
     return;
-  SeenVersion &Known = State.m_Seen[Seen.m_Vm];
-  if (Seen.m_Version >= Known.m_Version)
-    Known = {Seen.m_Version, Now};
+  auto [Known, Added] =
+      State.m_Seen.try_emplace(Seen.m_Vm, SeenVersion{Seen.m_Version, Now});
+  if (!Added && Seen.m_Version > Known->second.m_Version)
+    Known->second = {Seen.m_Version, Now};
 }
 
-std::vector<VmVersion> versionsToPass(InForceState &State, size_t Max) {
+std::vector<VmVersion> versionsToPass(InForceState &State,
+                                      const std::string &Receiver, size_t Max,
+                                      TimePoint Now) {
+  std::vector<std::string> Recent;
+  std::vector<std::string> Others;
+  for (const auto &[Vm, Seen] : State.m_Seen)
+    (Now - Seen.m_At < RecentFor ? Recent : Others).push_back(Vm);
   std::vector<VmVersion> Passed;
-  if (State.m_Seen.empty())
-    return Passed;
-  size_t Count = std::min(Max, State.m_Seen.size());
-  auto Next = State.m_Seen.upper_bound(State.m_Cursor);
-  while (Passed.size() < Count) {
-    if (Next == State.m_Seen.end())
-      Next = State.m_Seen.begin();
-    Passed.push_back({Next->first, Next->second.m_Version});
-    ++Next;
-  }
-  State.m_Cursor = Passed.back().m_Vm;
+  passInTurn(State, Recent, State.m_RecentCursors[Receiver], Max, Passed);
+  passInTurn(State, Others, State.m_Cursors[Receiver], Max, Passed);
   return Passed;
 }
 
--- a/libs/catalogue/tests/CodecTest.cpp
+++ b/libs/catalogue/tests/CodecTest.cpp
@@ -163,8 +163,8 @@
   CHECK_FALSE(inForce(State, 5).m_InForce);
   setLive(State, {"vm1", "vm2"});
   CHECK(inForce(State, 5).m_InForce);
-  auto First = versionsToPass(State, 1);
-  auto Second = versionsToPass(State, 1);
+  auto First = versionsToPass(State, "r", 1, TimePoint{});
+  auto Second = versionsToPass(State, "r", 1, TimePoint{});
   CHECK(First[0].m_Vm != Second[0].m_Vm);
 }
 
@@ -186,3 +186,44 @@
   MESSAGE("document_bytes=" << Bytes);
   CHECK(Bytes < MostBytes);
 }
+
+TEST_CASE("each receiver learns all versions, whoever else is sent some") {
+  struct Row {
+    size_t m_Receivers;
+    size_t m_Max;
+    /// Messages to one receiver after which it knows all six VMs.
+    size_t m_Messages;
+  };
+  const Row Rows[] = {{1, 6, 1}, {2, 3, 2}, {3, 2, 3}, {3, 4, 2}, {2, 1, 6}};
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.m_Receivers);
+    CAPTURE(Case.m_Max);
+    InForceState State;
+    setLive(State, {"a", "b", "c", "d", "e", "f", "r0", "r1", "r2"});
+    for (const char *Vm : {"a", "b", "c", "d", "e", "f"})
+      observe(State, {Vm, 2}, TimePoint{});
+    std::set<std::string> Learned;
+    for (size_t Message = 0; Message < Case.m_Messages; ++Message)
+      for (size_t Receiver = 0; Receiver < Case.m_Receivers; ++Receiver)
+        for (const VmVersion &Passed :
+             versionsToPass(State, "r" + std::to_string(Receiver), Case.m_Max,
+                            TimePoint{}))
+          if (Receiver == 0)
+            Learned.insert(Passed.m_Vm);
+    CHECK(Learned.size() == 6);
+  }
+}
+
+TEST_CASE("a version that rose lately is passed on before others") {
+  InForceState State;
+  setLive(State, {"a", "b", "c"});
+  TimePoint Start{};
+  for (const char *Vm : {"a", "b", "c"})
+    observe(State, {Vm, 1}, Start);
+  TimePoint Later = Start + std::chrono::minutes(1);
+  observe(State, {"c", 2}, Later);
+  auto Passed = versionsToPass(State, "r", 1, Later);
+  REQUIRE(Passed.size() == 1);
+  CHECK(Passed[0].m_Vm == "c");
+  CHECK(Passed[0].m_Version == 2);
+}
--- a/libs/entry/include/hyssopcross/entry/Node.h
+++ b/libs/entry/include/hyssopcross/entry/Node.h
@@ -30,6 +30,8 @@
   uint64_t m_Seed = 0;
   /// The longest time that a stop waits for calls and hand-overs.
   Duration m_StopTimeout = std::chrono::seconds(15);
+  /// How long a stopping VM goes on to answer callers that kept its address.
+  Duration m_StopLinger = std::chrono::seconds(3);
   balancing::PoolPolicy m_Pool;
   membership::MembershipPolicy m_Membership;
   ownership::OwnershipPolicy m_Ownership;
--- a/libs/entry/src/ControlMembership.cpp
+++ b/libs/entry/src/ControlMembership.cpp
@@ -28,7 +28,8 @@
   HeartbeatBundle Bundle;
   Bundle.m_Heartbeat = Action.m_Message;
   Bundle.m_Owners = addresses::nextOwnerDigest(m_Owners, OwnerDigestBytes);
-  Bundle.m_Versions = catalogue::versionsToPass(m_InForce, VersionsInHeartbeat);
+  Bundle.m_Versions = catalogue::versionsToPass(
+      m_InForce, Action.m_To, VersionsInHeartbeat, m_Parts.m_Clock.now());
   Bundle.m_Versions.push_back(
       {m_Settings.m_Self.m_Name, catalogue::currentVersion(m_Follower)});
   sendPeer(Action.m_PeerAddress,
--- a/libs/entry/src/Node.cpp
+++ b/libs/entry/src/Node.cpp
@@ -188,7 +188,9 @@
   logEvent(LogLevel::Info, "stopping", {{"vm", m_Settings.m_Name}});
   TimePoint GiveUp = m_Clock.now() + m_Settings.m_StopTimeout;
   m_Parts->m_Control.beginStop();
-  while (!m_Parts->m_Control.drained() && m_Clock.now() < GiveUp)
+  TimePoint Linger = m_Clock.now() + m_Settings.m_StopLinger;
+  while ((!m_Parts->m_Control.drained() || m_Clock.now() < Linger) &&
+         m_Clock.now() < GiveUp)
     std::this_thread::sleep_for(StopPoll);
   m_Parts->m_Callers->stopAccepting();
   auto Busy = [this] {
--- a/tools/hyssopcrossd/Flags.cpp
+++ b/tools/hyssopcrossd/Flags.cpp
@@ -19,6 +19,9 @@
 DEFINE_uint64(body_budget_bytes, 64U << 20U,
               "memory for the bodies of requests in progress");
 DEFINE_int32(stop_timeout_ms, 15000, "longest time for a graceful stop");
+DEFINE_int32(stop_linger_ms, 3000,
+             "time that a stopping VM goes on to answer callers that kept its "
+             "address");
 DEFINE_int32(lease_ttl_ms, 6000, "time to live of a lease on a pool");
 DEFINE_int32(heartbeat_ms, 1000, "pause between heartbeats to a peer");
 DEFINE_int32(detection_ms, 3000, "silence after which a peer is suspect");
@@ -115,6 +118,8 @@
        1e11},
       {"stop_timeout_ms", static_cast<double>(FLAGS_stop_timeout_ms), 100,
        600000},
+      {"stop_linger_ms", static_cast<double>(FLAGS_stop_linger_ms), 0,
+       static_cast<double>(FLAGS_stop_timeout_ms)},
       {"lease_ttl_ms", static_cast<double>(FLAGS_lease_ttl_ms), 1000, 60000},
       {"heartbeat_ms", static_cast<double>(FLAGS_heartbeat_ms), 100, 10000},
       {"detection_ms", static_cast<double>(FLAGS_detection_ms),
@@ -138,6 +143,7 @@
 
 void applyTimes(entry::NodeSettings &Settings) {
   Settings.m_StoreTimeout = milliseconds(FLAGS_store_timeout_ms);
+  Settings.m_StopLinger = milliseconds(FLAGS_stop_linger_ms);
   Settings.m_StopTimeout = milliseconds(FLAGS_stop_timeout_ms);
   Settings.m_Ownership.m_TimeToLive = milliseconds(FLAGS_lease_ttl_ms);
   Settings.m_Ownership.m_RenewEvery = milliseconds(FLAGS_lease_ttl_ms) / 3;
