--- a/libs/backend/src/Exchange.cpp
+++ b/libs/backend/src/Exchange.cpp
@@ -112,7 +112,10 @@
 void fillHeaders(const ServerRequest &Request, HeaderList &Headers) {
   for (const auto &[Name, Value] : Request.m_Headers) {
     // libcurl takes "Name;" for a header without a value.
-    Headers.add(Value.empty() ? Name + ";" : Name + ": " + Value);
+    std::string Line = Name;
+    Line += Value.empty() ? ";" : ": ";
+    Line += Value;
+    Headers.add(Line);
   }
   Headers.add(std::string(protocol::CorrelationHeader) + ": " +
               Request.m_CorrelationId);
--- a/libs/backend/tests/RawServer.h
+++ b/libs/backend/tests/RawServer.h
@@ -31,7 +31,8 @@
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(m_Listener, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+    [[maybe_unused]] int Bound = bind(
+        m_Listener, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
     listen(m_Listener, 16);
     socklen_t Size = sizeof(Address);
     getsockname(m_Listener, reinterpret_cast<sockaddr *>(&Address), &Size);
--- a/libs/entry/include/hyssopcross/entry/StoreAccess.h
+++ b/libs/entry/include/hyssopcross/entry/StoreAccess.h
@@ -18,15 +18,15 @@
               Workers &Threads);
 
   void run(const records::ReadRow &Request,
-           std::function<void(records::RowRead)> Answer);
+           const std::function<void(records::RowRead)> &Answer);
   void run(const records::ScanRows &Request,
-           std::function<void(records::RowsScanned)> Answer);
+           const std::function<void(records::RowsScanned)> &Answer);
   void run(const records::CommitRows &Request,
-           std::function<void(records::CommitEnded)> Answer);
+           const std::function<void(records::CommitEnded)> &Answer);
   void run(const records::PutObject &Request,
-           std::function<void(records::ObjectEnded)> Answer);
+           const std::function<void(records::ObjectEnded)> &Answer);
   void run(const records::GetObject &Request,
-           std::function<void(records::ObjectEnded)> Answer);
+           const std::function<void(records::ObjectEnded)> &Answer);
   void run(const records::RemoveObject &Request);
 
 private:
--- a/libs/entry/src/ControlMembership.cpp
+++ b/libs/entry/src/ControlMembership.cpp
@@ -15,6 +15,13 @@
 /// How long the platform's list counts for VMs that were not heard.
 constexpr Duration ListFreshness = std::chrono::seconds(30);
 
+std::string describe(const std::vector<catalogue::VmVersion> &Versions) {
+  std::string Text;
+  for (const catalogue::VmVersion &Each : Versions)
+    Text += Each.m_Vm + ":" + std::to_string(Each.m_Version) + ",";
+  return Text;
+}
+
 } // namespace
 
 void Control::stepMembership(const membership::Event &Event) {
@@ -135,6 +142,11 @@
 }
 
 void Control::heard(const HeartbeatBundle &Bundle) {
+  logEvent(LogLevel::Debug, "heartbeat_heard",
+           {{"sender", Bundle.m_Heartbeat.m_From.m_Name},
+            {"entries", Bundle.m_Heartbeat.m_Entries.size()},
+            {"owners", Bundle.m_Owners.size()},
+            {"versions", describe(Bundle.m_Versions)}});
   stepMembership(membership::HeartbeatArrived{Bundle.m_Heartbeat});
   for (const addresses::OwnerEntry &Each : Bundle.m_Owners)
     learn(Each);
--- a/libs/entry/src/Router.cpp
+++ b/libs/entry/src/Router.cpp
@@ -329,7 +329,7 @@
               {"error", Called.error().m_Message}});
     return fail(Called.error().m_Code, Called.error().m_Message);
   }
-  return fromWire(std::move(Answer));
+  return fromWire(Answer);
 }
 
 } // namespace hyssopcross::entry
--- a/libs/entry/src/StoreAccess.cpp
+++ b/libs/entry/src/StoreAccess.cpp
@@ -29,7 +29,7 @@
     : m_Table(Table), m_Objects(Objects), m_Threads(Threads) {}
 
 void StoreAccess::run(const records::ReadRow &Request,
-                      std::function<void(records::RowRead)> Answer) {
+                      const std::function<void(records::RowRead)> &Answer) {
   bool Posted = m_Threads.post(
       [this, Request, Answer] {
         auto Read = m_Table.read(Request.m_Key);
@@ -44,7 +44,7 @@
 }
 
 void StoreAccess::run(const records::ScanRows &Request,
-                      std::function<void(records::RowsScanned)> Answer) {
+                      const std::function<void(records::RowsScanned)> &Answer) {
   bool Posted = m_Threads.post(
       [this, Request, Answer] {
         auto Rows = m_Table.scan(Request.m_Prefix, Request.m_Limit);
@@ -59,7 +59,7 @@
 }
 
 void StoreAccess::run(const records::CommitRows &Request,
-                      std::function<void(records::CommitEnded)> Answer) {
+                      const std::function<void(records::CommitEnded)> &Answer) {
   bool Posted = m_Threads.post(
       [this, Request, Answer] {
         auto Committed = m_Table.commit(Request.m_Writes);
@@ -71,7 +71,7 @@
 }
 
 void StoreAccess::run(const records::PutObject &Request,
-                      std::function<void(records::ObjectEnded)> Answer) {
+                      const std::function<void(records::ObjectEnded)> &Answer) {
   bool Posted = m_Threads.post(
       [this, Request, Answer] {
         auto Put = m_Objects.put(Request.m_Key, Request.m_Body);
@@ -85,7 +85,7 @@
 }
 
 void StoreAccess::run(const records::GetObject &Request,
-                      std::function<void(records::ObjectEnded)> Answer) {
+                      const std::function<void(records::ObjectEnded)> &Answer) {
   bool Posted = m_Threads.post(
       [this, Request, Answer] {
         auto Got = m_Objects.get(Request.m_Key);
--- a/libs/entry/src/WireCalls.cpp
+++ b/libs/entry/src/WireCalls.cpp
@@ -79,7 +79,7 @@
   return Wire;
 }
 
-Result<CallerAnswer> fromWire(wire::ForwardedAnswer Message) {
+Result<CallerAnswer> fromWire(const wire::ForwardedAnswer &Message) {
   auto Outcome = protocol::parseOutcome(Message.outcome);
   if (!Outcome)
     return fail(Outcome.error().m_Code, Outcome.error().m_Message);
@@ -88,7 +88,7 @@
   Answer.m_Status = static_cast<unsigned>(Message.status);
   Answer.m_Code = Message.code;
   Answer.m_Headers = fromWire(Message.headers);
-  Answer.m_Body = std::move(Message.body);
+  Answer.m_Body = Message.body;
   return Answer;
 }
 
--- a/libs/entry/src/WireCodec.h
+++ b/libs/entry/src/WireCodec.h
@@ -41,7 +41,7 @@
 IncomingCall fromWire(const peer::wire::ForwardedCall &Message);
 
 peer::wire::ForwardedAnswer toWire(CallerAnswer Answer);
-Result<CallerAnswer> fromWire(peer::wire::ForwardedAnswer Message);
+Result<CallerAnswer> fromWire(const peer::wire::ForwardedAnswer &Message);
 
 } // namespace hyssopcross::entry
 
--- a/libs/entry/src/WireOwnership.cpp
+++ b/libs/entry/src/WireOwnership.cpp
@@ -53,6 +53,7 @@
 std::vector<ownership::PoolEpoch>
 readEpochs(const std::vector<wire::PoolEpoch> &Wire) {
   std::vector<ownership::PoolEpoch> Epochs;
+  Epochs.reserve(Wire.size());
   for (const wire::PoolEpoch &Each : Wire)
     Epochs.push_back({fromWire(Each.pool), static_cast<uint64_t>(Each.epoch)});
   return Epochs;
--- a/libs/entry/tests/CallTest.cpp
+++ b/libs/entry/tests/CallTest.cpp
@@ -113,20 +113,20 @@
 TEST_CASE("an attempt's end decides outcome and status") {
   struct Row {
     AttemptEnd m_End;
-    bool m_Late;
     Outcome m_Outcome;
     unsigned m_Status;
+    bool m_Late;
     bool m_RetryAfter;
   };
   const Row Rows[] = {
-      {AttemptEnd::Completed, false, Outcome::Completed, 201, false},
-      {AttemptEnd::Completed, true, Outcome::Completed, 201, false},
-      {AttemptEnd::Shed, false, Outcome::NotRun, 503, true},
-      {AttemptEnd::NotSent, false, Outcome::NotRun, 503, true},
-      {AttemptEnd::NotSent, true, Outcome::NotRun, 504, true},
-      {AttemptEnd::Broken, false, Outcome::Unknown, 502, false},
-      {AttemptEnd::Broken, true, Outcome::Unknown, 504, false},
-      {AttemptEnd::Cancelled, false, Outcome::Unknown, 502, false},
+      {AttemptEnd::Completed, Outcome::Completed, 201, false, false},
+      {AttemptEnd::Completed, Outcome::Completed, 201, true, false},
+      {AttemptEnd::Shed, Outcome::NotRun, 503, false, true},
+      {AttemptEnd::NotSent, Outcome::NotRun, 503, false, true},
+      {AttemptEnd::NotSent, Outcome::NotRun, 504, true, true},
+      {AttemptEnd::Broken, Outcome::Unknown, 502, false, false},
+      {AttemptEnd::Broken, Outcome::Unknown, 504, true, false},
+      {AttemptEnd::Cancelled, Outcome::Unknown, 502, false, false},
   };
   for (const Row &Case : Rows) {
     backend::ServerAnswer Answer;
--- a/libs/peer/src/PeerServer.cpp
+++ b/libs/peer/src/PeerServer.cpp
@@ -8,7 +8,6 @@
 namespace hyssopcross::peer {
 
 using apache::thrift::protocol::TCompactProtocolFactory;
-using apache::thrift::server::TServerEventHandler;
 using apache::thrift::server::TThreadedServer;
 using apache::thrift::transport::TBufferedTransportFactory;
 using apache::thrift::transport::TServerSocket;
