--- a/libs/backend/include/hyssopcross/backend/Exchange.h
+++ b/libs/backend/include/hyssopcross/backend/Exchange.h
@@ -2,7 +2,7 @@
 #define HYSSOPCROSS_BACKEND_EXCHANGE_H
 
 #include "hyssopcross/balancing/Events.h"
-#include <atomic>
+#include "hyssopcross/http/TimedExchange.h"
 #include <memory>
 #include <string>
 #include <string_view>
@@ -11,15 +11,11 @@
 
 namespace hyssopcross::backend {
 
-/// A request to a backend server. The views must stay valid until the exchange
-/// has ended.
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
+/// A request to a backend server. The message is shared by all sends of it.
 struct ServerRequest {
-  std::string_view m_Method;
-  /// Path and query.
-  std::string_view m_Target;
-  std::string_view m_Body;
-  /// Headers to pass on, without Content-Length.
-  std::vector<std::pair<std::string, std::string>> m_Headers;
+  std::shared_ptr<const http::Request> m_Message;
   /// Must come back on the answer.
   std::string m_CorrelationId;
   /// Time until the caller's deadline.
@@ -27,15 +23,13 @@
   /// Whether the request may be sent a second time if a kept connection turns
   /// out to be closed.
   bool m_Idempotent = false;
-  /// Largest answer accepted, in bytes.
-  size_t m_AnswerBytes = 4U << 20U;
 };
 
 /// What came of an exchange.
 struct ServerAnswer {
   balancing::AttemptEnd m_End = balancing::AttemptEnd::NotSent;
   unsigned m_Status = 0;
-  std::vector<std::pair<std::string, std::string>> m_Headers;
+  HeaderList m_Headers;
   std::string m_Body;
   std::optional<balancing::LoadReport> m_Report;
   /// False if nothing was sent for a reason that is not the server's.
@@ -44,30 +38,48 @@
   std::string m_Detail;
 };
 
-/// A kept connection to one backend server, used by one thread at a time.
-class Channel {
+/// The value of a header of an answer, whatever the case of its name; empty if
+/// it is absent.
+std::string_view findHeader(const ServerAnswer &Answer, std::string_view Name);
+
+/// Builds the message of a request: Host names the service, and the
+/// correlation id and the length of the body are added to Headers.
+std::shared_ptr<const http::Request>
+makeMessage(std::string_view Method, std::string_view Target,
+            std::string_view Service, const HeaderList &Headers,
+            std::string_view CorrelationId, std::string_view Body);
+
+/// Called on the loop's thread with what came of an exchange.
+using AnswerCallback = std::function<void(ServerAnswer)>;
+
+/// Sends requests to backend servers over kept connections. Lives on one event
+/// loop, whose thread makes all calls.
+class Sender {
 public:
-  explicit Channel(balancing::ServerId Server);
-  ~Channel();
-  Channel(const Channel &) = delete;
-  Channel &operator=(const Channel &) = delete;
+  Sender(boost::asio::io_context &Loop, const Clock &Time);
 
-  /// Sends the request and waits for the whole answer, for at most its
-  /// timeout. An answer that is cut, oversized or carries another correlation
-  /// id ends the exchange as Broken. Never throws.
-  ServerAnswer exchange(const ServerRequest &Request);
+  /// Sends a request. Done is called exactly once, later, unless the exchange
+  /// is cancelled. An answer that is cut or oversized ends the exchange as
+  /// Broken. One with another correlation id is no answer to this request: the
+  /// next one is waited for until the timeout. Null if Server is no address;
+  /// the exchange then ends as NotSent.
+  std::shared_ptr<http::TimedExchange> send(const balancing::ServerId &Server,
+                                            const ServerRequest &Request,
+                                            AnswerCallback Done);
 
-  /// Ends the exchange that another thread runs on this channel; it returns
-  /// Cancelled unless it ended before. Safe from any thread.
-  void cancel();
+  /// Sets how many idle connections to keep to a server.
+  void keep(const balancing::ServerId &Server, uint32_t Count);
 
-  /// Whether the connection may carry another exchange.
-  bool reusable() const;
+  /// Connections to the server, idle or in use.
+  uint32_t open(const balancing::ServerId &Server) const;
 
-private:
-  struct Implementation;
+  /// Closes connections that have been idle for too long. The owner calls it a
+  /// few times a second.
+  void sweep() { m_Client.sweep(); }
 
-  std::unique_ptr<Implementation> m_State;
+private:
+  boost::asio::io_context &m_Loop;
+  http::Client m_Client;
 };
 
 /// Parses the value of the Server-Load header; no value if it is malformed.
--- a/libs/backend/tests/ExchangeTest.cpp
+++ b/libs/backend/tests/ExchangeTest.cpp
@@ -1,6 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "hyssopcross/backend/Exchange.h"
 #include "RawServer.h"
-#include "hyssopcross/backend/Connections.h"
 #include "hyssopcross/protocol/Outcome.h"
 #include <doctest/doctest.h>
 #include <future>
@@ -18,18 +18,35 @@
 
 ServerRequest request(std::string_view Body, bool Idempotent) {
   ServerRequest Request;
-  Request.m_Method = Body.empty() ? "GET" : "POST";
-  Request.m_Target = "/x";
-  Request.m_Body = Body;
+  Request.m_Message = makeMessage(Body.empty() ? "GET" : "POST", "/x",
+                                  "boletas", {}, "c1", Body);
   Request.m_CorrelationId = "c1";
   Request.m_Timeout = std::chrono::seconds(20);
   Request.m_Idempotent = Idempotent;
-  Request.m_AnswerBytes = 100;
   return Request;
 }
 
 constexpr const char *Echo = "Hyssopcross-Correlation-Id: c1\r\n";
 
+/// A sender with the loop that it lives on.
+struct Sending {
+  /// Sends a request and runs the loop until it has ended.
+  ServerAnswer exchange(const std::string &Server, const ServerRequest &Asked) {
+    std::optional<ServerAnswer> Ended;
+    m_Sender.send(Server, Asked,
+                  [&](ServerAnswer Answer) { Ended = std::move(Answer); });
+    while (!Ended) {
+      m_Loop.restart();
+      m_Loop.run_one();
+    }
+    return std::move(*Ended);
+  }
+
+  SystemClock m_Clock;
+  boost::asio::io_context m_Loop;
+  Sender m_Sender{m_Loop, m_Clock};
+};
+
 } // namespace
 
 TEST_CASE("an answer ends the exchange by what it is") {
@@ -49,6 +66,10 @@
        AttemptEnd::Broken},
       {"crossed", answer("Hyssopcross-Correlation-Id: c2\r\n", "body"),
        AttemptEnd::Broken},
+      {"a late answer before the whole one",
+       answer("Hyssopcross-Correlation-Id: c2\r\n", "late") +
+           answer(Echo, "body"),
+       AttemptEnd::Completed},
       {"no correlation id", answer("", "body"), AttemptEnd::Broken},
       {"refused by contract",
        answer(Echo + std::string("Server-Refused: not-run\r\n"), ""),
@@ -64,19 +85,23 @@
       {"cut in the headers", "HTTP/1.1 200 OK\r\nContent-Le",
        AttemptEnd::Broken},
       {"no answer", "", AttemptEnd::Broken},
-      {"oversized", answer(Echo, std::string(101, 'x')), AttemptEnd::Broken},
+      {"oversized", answer(Echo, std::string((4U << 20U) + 1, 'x')),
+       AttemptEnd::Broken},
   };
   for (const Row &Case : Rows) {
-    CAPTURE(Case.m_Name);
+    CAPTURE(std::string(Case.m_Name));
     RawServer Server([&Case](int, const std::string &) {
       return RawServer::Reply{Case.m_Bytes, true};
     });
-    Channel Used(Server.address());
-    ServerAnswer Answer = Used.exchange(request("deposit", false));
+    Sending Used;
+    ServerAnswer Answer =
+        Used.exchange(Server.address(), request("deposit", false));
     CHECK(Answer.m_End == Case.m_End);
     CHECK(Server.requests() == 1);
     if (Case.m_End == AttemptEnd::Broken)
-      CHECK_FALSE(Used.reusable());
+      CHECK(Used.m_Sender.open(Server.address()) == 0);
+    if (Case.m_End == AttemptEnd::Completed)
+      CHECK(Answer.m_Body == "body");
   }
 }
 
@@ -86,8 +111,12 @@
     RawServer Gone([](int, const std::string &) { return RawServer::Reply{}; });
     Address = Gone.address();
   }
-  Channel Used(Address);
-  CHECK(Used.exchange(request("deposit", false)).m_End == AttemptEnd::NotSent);
+  for (const std::string &Server : {Address, std::string("no address")}) {
+    CAPTURE(Server);
+    Sending Used;
+    CHECK(Used.exchange(Server, request("deposit", false)).m_End ==
+          AttemptEnd::NotSent);
+  }
 }
 
 TEST_CASE("only an idempotent request is repeated on a closed connection") {
@@ -102,7 +131,6 @@
       {"", true, AttemptEnd::Completed, 3},
       {"deposit", true, AttemptEnd::Completed, 3},
       {"deposit", false, AttemptEnd::Broken, 2},
-      // Without a body it goes on a connection of its own.
       {"", false, AttemptEnd::Broken, 2},
   };
   for (const Row &Case : Rows) {
@@ -113,17 +141,17 @@
         return RawServer::Reply{};
       return RawServer::Reply{answer(Echo, "body"), false};
     });
-    Channel Used(Server.address());
-    ServerRequest First = request("first", true);
-    REQUIRE(Used.exchange(First).m_End == AttemptEnd::Completed);
-    ServerAnswer Second =
-        Used.exchange(request(Case.m_Body, Case.m_Idempotent));
+    Sending Used;
+    REQUIRE(Used.exchange(Server.address(), request("first", true)).m_End ==
+            AttemptEnd::Completed);
+    ServerAnswer Second = Used.exchange(
+        Server.address(), request(Case.m_Body, Case.m_Idempotent));
     CHECK(Second.m_End == Case.m_Second);
     CHECK(Server.requests() == Case.m_Requests);
   }
 }
 
-TEST_CASE("cancelling ends an exchange that runs") {
+TEST_CASE("cancelling ends an exchange that runs and closes its connection") {
   std::promise<void> Arrived;
   std::promise<void> Cancelled;
   RawServer Server([&](int, const std::string &) {
@@ -131,17 +159,36 @@
     Cancelled.get_future().wait();
     return RawServer::Reply{};
   });
-  Channel Used(Server.address());
-  auto Ended = std::async(std::launch::async, [&Used] {
-    return Used.exchange(request("x", true)).m_End;
-  });
-  Arrived.get_future().wait();
-  Used.cancel();
-  CHECK(Ended.get() == AttemptEnd::Cancelled);
-  CHECK_FALSE(Used.reusable());
+  Sending Used;
+  bool Ended = false;
+  auto Running = Used.m_Sender.send(Server.address(), request("x", true),
+                                    [&](ServerAnswer) { Ended = true; });
+  auto Seen = Arrived.get_future();
+  while (Seen.wait_for(std::chrono::seconds(0)) != std::future_status::ready)
+    Used.m_Loop.run_one_for(std::chrono::milliseconds(10));
+  CHECK(Used.m_Sender.open(Server.address()) == 1);
+  Running->cancel();
+  CHECK(Used.m_Sender.open(Server.address()) == 0);
+  Used.m_Loop.run();
+  CHECK_FALSE(Ended);
   Cancelled.set_value();
 }
 
+TEST_CASE("an exchange ends at its timeout as what may have happened") {
+  std::promise<void> Release;
+  auto Released = Release.get_future().share();
+  RawServer Server([Released](int, const std::string &) {
+    Released.wait();
+    return RawServer::Reply{};
+  });
+  Sending Used;
+  ServerRequest Asked = request("x", true);
+  Asked.m_Timeout = std::chrono::milliseconds(50);
+  CHECK(Used.exchange(Server.address(), Asked).m_End == AttemptEnd::Broken);
+  CHECK(Used.m_Sender.open(Server.address()) == 0);
+  Release.set_value();
+}
+
 TEST_CASE("a load report is read or refused") {
   struct Row {
     const char *m_Text;
@@ -167,13 +214,16 @@
   RawServer Server([](int, const std::string &) {
     return RawServer::Reply{answer(Echo, "body"), false};
   });
-  Connections All;
-  All.keep(Server.address(), 1);
-  auto First = All.acquire(Server.address());
-  auto Second = All.acquire(Server.address());
-  CHECK(All.open(Server.address()) == 2);
-  All.release(Server.address(), First);
-  All.release(Server.address(), Second);
-  CHECK(All.open(Server.address()) == 1);
-  CHECK(All.acquire(Server.address()) == First);
+  Sending Used;
+  Used.m_Sender.keep(Server.address(), 1);
+  int Ended = 0;
+  for (int I = 0; I < 2; ++I)
+    Used.m_Sender.send(Server.address(), request("", true),
+                       [&](ServerAnswer) { ++Ended; });
+  CHECK(Used.m_Sender.open(Server.address()) == 2);
+  while (Ended < 2)
+    Used.m_Loop.run_one();
+  CHECK(Used.m_Sender.open(Server.address()) == 1);
+  Used.m_Sender.keep(Server.address(), 0);
+  CHECK(Used.m_Sender.open(Server.address()) == 0);
 }
--- a/libs/entry/include/hyssopcross/entry/Call.h
+++ b/libs/entry/include/hyssopcross/entry/Call.h
@@ -4,23 +4,21 @@
 #include "hyssopcross/base/Clock.h"
 #include "hyssopcross/entry/PoolHost.h"
 #include "hyssopcross/protocol/Outcome.h"
-#include "hyssopcross/web/HttpServer.h"
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace hyssopcross::entry {
 
-using HeaderList = std::vector<std::pair<std::string, std::string>>;
+using backend::HeaderList;
 
 /// A caller's request, as it came from the caller or from another entry VM.
-/// The body is a view of the transport's buffer.
 struct IncomingCall {
   std::string m_Service;
   std::string m_Method;
   /// Path and query at the backend server.
   std::string m_Target;
-  std::string_view m_Body;
+  std::string m_Body;
   /// Headers to pass on to the backend server.
   HeaderList m_Headers;
   std::string m_CorrelationId;
@@ -36,6 +34,9 @@
   uint32_t m_Hops = 0;
   /// Set if another pool's owner gave the call up to this VM.
   bool m_HandedOver = false;
+  /// Data centre of the pool that the sending VM chose; empty if a caller sent
+  /// the call.
+  std::string m_PoolDataCentre;
 };
 
 /// The answer to a caller's request.
@@ -48,12 +49,25 @@
   std::string m_Body;
 };
 
-/// Reads a request whose path is /call/SERVICE/REST. The deadline is the
-/// earlier of the caller's absolute and relative ones, or DefaultTimeout from
-/// now. Fails with InvalidInput and a sentence that names the header.
-Result<IncomingCall> parseCall(const web::HttpRequest &Request, WallTime Now,
+/// Reads a request whose path is /call/SERVICE/REST and moves its body out. The
+/// deadline is the earlier of the caller's absolute and relative ones, or
+/// DefaultTimeout from now. Fails with InvalidInput and a sentence that names
+/// the header.
+Result<IncomingCall> parseCall(http::Request &Request, WallTime Now,
                                Duration DefaultTimeout);
 
+/// The request that sends a call on to the VM that owns a pool of its service;
+/// parseCall reads it there.
+std::shared_ptr<const http::Request>
+forwardedRequest(const IncomingCall &Call, const balancing::PoolId &Pool);
+
+/// The answer that another entry VM gave to a forwarded call. Fails with
+/// Protocol if it names no outcome.
+Result<CallerAnswer> readForwardedAnswer(http::Response Answer);
+
+/// An answer as it goes out to a caller.
+http::Response toResponse(CallerAnswer Answer, std::string_view CorrelationId);
+
 /// Headers between two hops only, which are never passed on.
 bool isHopHeader(std::string_view Name);
 
--- a/libs/entry/include/hyssopcross/entry/ClaimsHost.h
+++ b/libs/entry/include/hyssopcross/entry/ClaimsHost.h
@@ -2,26 +2,32 @@
 #define HYSSOPCROSS_ENTRY_CLAIMSHOST_H
 
 #include "hyssopcross/claims/Claims.h"
-#include "hyssopcross/entry/Loop.h"
 #include "hyssopcross/entry/PoolHost.h"
 #include "hyssopcross/entry/StoreAccess.h"
-#include <condition_variable>
+#include "hyssopcross/entry/Timers.h"
 #include <mutex>
 
 namespace hyssopcross::entry {
 
-/// Hosts the decisions about claims. A money call waits in the thread that
-/// brought it. All functions are safe from any thread.
+/// Hosts the decisions about claims. Functions are safe from any thread;
+/// callbacks are called on the loop's thread.
 class ClaimsHost {
 public:
+  /// Sends a call whose claim stands to its pool, with the gate that the pool
+  /// asks, and reports what came of it.
+  using SendCall =
+      std::function<void(std::shared_ptr<SendGate>, ResultCallback)>;
+  using AnswerCallback = std::function<void(const claims::Answer &)>;
+
   /// Process identifies this process start among all, for good.
   ClaimsHost(std::string Process, claims::ClaimPolicy Policy, uint64_t Seed,
-             const Clock &Time, StoreAccess &Store, Loop &Timers);
+             const Clock &Time, boost::asio::io_context &Loop,
+             StoreAccess &Store, Timers &Wakes);
 
-  /// Runs a money call. Run is called once the claim stands, at most once, and
-  /// passes the gate to the pool with the call. Returns the final answer.
-  claims::Answer run(const claims::MoneyArrived &Arrival,
-                     const std::function<CallResult(SendGate &)> &Run);
+  /// Begins a money call. Send is called once the claim stands, at most once;
+  /// Done is called once, with the final answer.
+  void run(const claims::MoneyArrived &Arrival, SendCall Send,
+           AnswerCallback Done);
 
   /// Whether this process removes the service's expired claims.
   void setSweeper(const std::string &Service, bool Sweep);
@@ -33,12 +39,11 @@
   claims::ClaimCounters counters();
 
 private:
-  /// A money call whose thread is inside run().
-  struct WaitingCall {
-    std::condition_variable m_Changed;
-    bool m_Start = false;
-    std::optional<bool> m_MaySend;
-    std::optional<claims::Answer> m_Answer;
+  /// A money call that has no final answer yet.
+  struct OpenCall {
+    SendCall m_Send;
+    AnswerCallback m_Done;
+    bool m_MaySend = false;
   };
 
   class Gate;
@@ -55,12 +60,13 @@
   void report(claims::CallId Call, const CallResult &Result);
 
   const Clock &m_Clock;
+  boost::asio::io_context &m_Loop;
   StoreAccess &m_Store;
-  Loop &m_Timers;
+  Timers &m_Timers;
   std::mutex m_Mutex;
   claims::ClaimState m_State;
   claims::CallId m_LastCall = 0;
-  std::map<claims::CallId, WaitingCall *> m_Waiting;
+  std::map<claims::CallId, OpenCall> m_Calls;
 };
 
 } // namespace hyssopcross::entry
--- a/libs/entry/include/hyssopcross/entry/Control.h
+++ b/libs/entry/include/hyssopcross/entry/Control.h
@@ -4,9 +4,9 @@
 #include "hyssopcross/addresses/Addresses.h"
 #include "hyssopcross/catalogue/Follower.h"
 #include "hyssopcross/entry/HeartbeatBundle.h"
-#include "hyssopcross/entry/Loop.h"
 #include "hyssopcross/entry/Pools.h"
 #include "hyssopcross/entry/StoreAccess.h"
+#include "hyssopcross/entry/Timers.h"
 #include "hyssopcross/membership/Membership.h"
 #include "hyssopcross/ownership/Ownership.h"
 #include "hyssopcross/peer/PeerClients.h"
@@ -29,6 +29,7 @@
 /// What the control part uses; all of it outlives the control part.
 struct ControlParts {
   const Clock &m_Clock;
+  boost::asio::io_context &m_Loop;
   StoreAccess &m_Store;
   platform::VmList &m_VmList;
   Workers &m_StoreThreads;
@@ -37,9 +38,10 @@
   Pools &m_Pools;
 };
 
-/// Hosts the decisions about membership, ownership and the catalogue on one
-/// thread, and publishes what calls need. Functions are safe from any thread;
-/// those that take an event return at once.
+/// Hosts the decisions about membership, ownership and the catalogue on the
+/// event loop, and publishes what calls need. Functions are safe from any
+/// thread; those that take an event return at once. Destroyed when the loop no
+/// longer runs.
 class Control {
 public:
   Control(ControlSettings Settings, ControlParts Parts);
@@ -47,9 +49,6 @@
   /// Begins; call once.
   void start();
 
-  /// Stops the thread; nothing is sent any more. Call before the parts end.
-  void end();
-
   /// What routing depends on, as of now.
   std::shared_ptr<const addresses::RoutingView> routing() const;
 
@@ -84,10 +83,12 @@
   /// The catalogue in force here; null if there is none.
   catalogue::CatalogueRef currentCatalogue() const;
 
-  /// Which live VMs have confirmed a version.
+  /// Which live VMs have confirmed a version. Waits for the loop, so not to be
+  /// called on its thread.
   catalogue::InForceStatus inForceStatus(uint64_t Version);
 
-  /// The VMs as this one sees them.
+  /// The VMs as this one sees them. Waits for the loop, so not to be called on
+  /// its thread.
   membership::View members();
 
 private:
@@ -95,7 +96,7 @@
     using Answer = decltype(Question());
     auto Done = std::make_shared<std::promise<Answer>>();
     std::future<Answer> Result = Done->get_future();
-    m_Loop->post([Done, Question] { Done->set_value(Question()); });
+    m_Timers.post([Done, Question] { Done->set_value(Question()); });
     return Result.get();
   }
 
@@ -178,7 +179,7 @@
 
   std::atomic<bool> m_TakesWork{false};
   std::atomic<bool> m_Drained{false};
-  std::unique_ptr<Loop> m_Loop;
+  Timers m_Timers;
 };
 
 } // namespace hyssopcross::entry
--- a/libs/entry/include/hyssopcross/entry/Node.h
+++ b/libs/entry/include/hyssopcross/entry/Node.h
@@ -24,7 +24,7 @@
   unsigned m_StoreThreads = 8;
   /// Messages to other VMs at once.
   unsigned m_PeerThreads = 4;
-  web::HttpServerLimits m_CallerLimits;
+  http::ServerLimits m_CallerLimits;
   /// Share of calls without a trace context that are traced.
   double m_TraceShare = 0.0;
   uint64_t m_Seed = 0;
@@ -44,7 +44,9 @@
   uint64_t m_BodyBudget = 64U << 20U;
 };
 
-/// An entry VM. Built, started, stopped and destroyed by one thread.
+/// An entry VM: one event loop on a thread of its own, beside threads that wait
+/// for the store, for other VMs' control messages and for operators' changes.
+/// Built, started, stopped and destroyed by one thread.
 class Node {
 public:
   explicit Node(NodeSettings Settings);
@@ -64,6 +66,9 @@
 
   /// Takes on, or gives up, the upkeep of the records of services.
   void assignUpkeep();
+  /// Closes what has been idle or silent for too long, and comes back.
+  void sweep();
+  Result<void> listen();
 
   NodeSettings m_Settings;
   SystemClock m_Clock;
--- a/libs/entry/include/hyssopcross/entry/PeerHandler.h
+++ b/libs/entry/include/hyssopcross/entry/PeerHandler.h
@@ -2,7 +2,7 @@
 #define HYSSOPCROSS_ENTRY_PEERHANDLER_H
 
 #include "Peer.h"
-#include "hyssopcross/entry/Router.h"
+#include "hyssopcross/entry/Control.h"
 
 namespace hyssopcross::entry {
 
@@ -10,10 +10,8 @@
 /// dropped. Safe from any thread.
 class PeerHandler final : public peer::wire::PeerIf {
 public:
-  PeerHandler(Control &Routing, Router &Calls);
+  explicit PeerHandler(Control &Routing);
 
-  void forward(peer::wire::ForwardedAnswer &Answer,
-               const peer::wire::ForwardedCall &Call) override;
   void heartbeat(const peer::wire::Heartbeat &Message) override;
   void requestVmList(const peer::wire::VmListRequest &Message) override;
   void answerVmList(const peer::wire::VmListAnswer &Message) override;
@@ -27,7 +25,6 @@
 
 private:
   Control &m_Control;
-  Router &m_Router;
 };
 
 } // namespace hyssopcross::entry
--- a/libs/entry/include/hyssopcross/entry/PoolHost.h
+++ b/libs/entry/include/hyssopcross/entry/PoolHost.h
@@ -1,19 +1,17 @@
 #ifndef HYSSOPCROSS_ENTRY_POOLHOST_H
 #define HYSSOPCROSS_ENTRY_POOLHOST_H
 
-#include "hyssopcross/backend/Connections.h"
+#include "hyssopcross/backend/Exchange.h"
 #include "hyssopcross/balancing/Pool.h"
-#include "hyssopcross/entry/Workers.h"
-#include <condition_variable>
+#include <boost/asio/io_context.hpp>
 #include <deque>
 #include <memory>
 #include <mutex>
-#include <set>
 
 namespace hyssopcross::entry {
 
 /// Asked around each send of a call whose class restricts sends. Called on the
-/// thread that sends, while the pool is not locked.
+/// loop's thread, while the pool is not locked.
 class SendGate {
 public:
   virtual ~SendGate() = default;
@@ -25,9 +23,9 @@
   virtual void sendEnded(const backend::ServerAnswer &Answer) = 0;
 };
 
-/// A call to run in a pool. The views of the request must stay valid until
-/// run() returns.
+/// A call to run in a pool.
 struct CallRequest {
+  /// The timeout is set at each send, from the deadline.
   backend::ServerRequest m_Request;
   TimePoint m_Deadline;
   std::string m_ShareKey;
@@ -35,7 +33,7 @@
   uint32_t m_Depth = 1;
   bool m_HandedOver = false;
   /// Null if sends need no permission.
-  SendGate *m_Gate = nullptr;
+  std::shared_ptr<SendGate> m_Gate;
 };
 
 /// An attempt's answer is the call's result.
@@ -56,6 +54,9 @@
 
 using CallResult = std::variant<CallAnswered, CallRefused, CallHandedOver>;
 
+/// Called on the loop's thread with what came of a call.
+using ResultCallback = std::function<void(CallResult)>;
+
 /// What this VM may do with a pool at an instant.
 enum class LeaseStanding { Confirmed, Unconfirmed, NotOwner };
 
@@ -81,16 +82,22 @@
                        const balancing::PoolId &Target, uint32_t FreeSlots) = 0;
 };
 
-/// Hosts the decisions for one pool: feeds events in, carries actions out, and
-/// lets each call wait in the thread that brought it. All functions are safe
-/// from any thread.
+/// Hosts the decisions for one pool: feeds events in and carries actions out.
+/// Events are taken on any thread and decided at once; sends, their answers and
+/// all callbacks are on the loop's thread. The loop and the sender outlive the
+/// host.
 class PoolHost : public std::enable_shared_from_this<PoolHost> {
 public:
   PoolHost(balancing::PoolState State, const Clock &Time,
-           backend::Connections &Servers, Workers &Helpers, PoolPorts &Ports);
+           boost::asio::io_context &Loop, backend::Sender &Servers,
+           PoolPorts &Ports);
+
+  /// Begins a call. Done is called once, later, unless the call is abandoned.
+  balancing::CallId run(CallRequest Call, ResultCallback Done);
 
-  /// Runs a call to its end. Returns as soon as the result is decided.
-  CallResult run(const CallRequest &Call);
+  /// Ends a call whose caller has left: what runs is cancelled. Nothing happens
+  /// if the call has ended.
+  void abandon(balancing::CallId Call);
 
   /// Applies an event that does not come from a call.
   void apply(const balancing::Event &Event);
@@ -105,19 +112,20 @@
   }
 
 private:
-  using Instruction =
-      std::variant<balancing::SendAttempt, balancing::FinishCall,
-                   balancing::RefuseCall, balancing::HandOverCall>;
-
-  /// A call whose thread is inside run().
-  struct WaitingCall {
-    explicit WaitingCall(const CallRequest &Call) : m_Call(Call) {}
-
-    const CallRequest &m_Call;
-    std::condition_variable m_Changed;
-    std::deque<Instruction> m_Inbox;
+  /// A call that has not ended.
+  struct OpenCall {
+    CallRequest m_Call;
+    ResultCallback m_Done;
     std::map<balancing::AttemptId, backend::ServerAnswer> m_Answers;
-    uint32_t m_Helping = 0;
+  };
+
+  /// An attempt between the decision to send and its end.
+  struct OpenAttempt {
+    balancing::ServerId m_Server;
+    std::shared_ptr<OpenCall> m_Call;
+    /// Null until the request is sent.
+    std::shared_ptr<http::TimedExchange> m_Exchange;
+    bool m_Cancelled = false;
   };
 
   void stepLocked(const balancing::Event &Event);
@@ -134,23 +142,18 @@
   void carryOut(const balancing::AnnounceQueueing &Action);
   void carryOut(const balancing::AskPull &Action);
   void carryOut(const balancing::WakeAt &Action);
-  void instruct(balancing::CallId Call, Instruction Next);
-  std::shared_ptr<backend::Channel>
-  beginAttemptLocked(const balancing::SendAttempt &Attempt);
-  void endAttemptLocked(WaitingCall &Call,
-                        const balancing::SendAttempt &Attempt,
-                        std::shared_ptr<backend::Channel> Used,
-                        backend::ServerAnswer Answer);
-  void performAttempt(std::unique_lock<std::mutex> &Lock, WaitingCall &Call,
-                      const balancing::SendAttempt &Attempt);
-  backend::ServerAnswer send(const CallRequest &Call,
-                             backend::Channel &Used) const;
+  std::shared_ptr<OpenCall> closeLocked(balancing::CallId Call);
+  void finishLocked(const std::shared_ptr<OpenCall> &Call, CallResult Result);
+  void begin(balancing::AttemptId Attempt);
+  void cancel(balancing::AttemptId Attempt);
+  bool mayBeginLocked(const OpenAttempt &Attempt);
+  void endAttempt(balancing::AttemptId Attempt, backend::ServerAnswer Answer);
   void probe(const balancing::ServerId &Server);
   void reportConnectionsLocked(const balancing::ServerId &Server);
 
   const Clock &m_Clock;
-  backend::Connections &m_Servers;
-  Workers &m_Helpers;
+  boost::asio::io_context &m_Loop;
+  backend::Sender &m_Servers;
   PoolPorts &m_Ports;
 
   mutable std::mutex m_Mutex;
@@ -159,9 +162,8 @@
   LeaseStanding m_Standing = LeaseStanding::Confirmed;
   std::deque<balancing::Event> m_Pending;
   bool m_Stepping = false;
-  std::map<balancing::CallId, WaitingCall *> m_Waiting;
-  std::map<balancing::AttemptId, std::shared_ptr<backend::Channel>> m_Running;
-  std::set<balancing::AttemptId> m_CancelledEarly;
+  std::map<balancing::CallId, std::shared_ptr<OpenCall>> m_Calls;
+  std::map<balancing::AttemptId, OpenAttempt> m_Attempts;
   std::map<balancing::ServerId, uint32_t> m_OpenConnections;
 };
 
--- a/libs/entry/include/hyssopcross/entry/Pools.h
+++ b/libs/entry/include/hyssopcross/entry/Pools.h
@@ -1,8 +1,8 @@
 #ifndef HYSSOPCROSS_ENTRY_POOLS_H
 #define HYSSOPCROSS_ENTRY_POOLS_H
 
-#include "hyssopcross/entry/Loop.h"
 #include "hyssopcross/entry/PoolHost.h"
+#include "hyssopcross/entry/Timers.h"
 #include <functional>
 #include <shared_mutex>
 
@@ -21,8 +21,8 @@
 /// The pools that this VM decides for. Safe from any thread.
 class Pools final : public PoolPorts {
 public:
-  Pools(const Clock &Time, balancing::PoolPolicy Policy, uint64_t Seed,
-        PoolOutside Outside);
+  Pools(const Clock &Time, boost::asio::io_context &Loop,
+        balancing::PoolPolicy Policy, uint64_t Seed, PoolOutside Outside);
 
   /// The pool, or null if this VM does not decide for it.
   std::shared_ptr<PoolHost> find(const balancing::PoolId &Pool) const;
@@ -40,12 +40,9 @@
   /// and what runs runs on.
   void remove(const balancing::PoolId &Pool);
 
-  /// Connections to backend servers, shared by all pools.
-  backend::Connections &connections() { return m_Connections; }
-
-  /// Ends the threads; no call may run any more. Call before what the outside
-  /// functions use ends.
-  void end();
+  /// Closes connections to backend servers that have been idle for too long.
+  /// On the loop's thread, a few times a second.
+  void sweep() { m_Servers.sweep(); }
 
   LeaseStanding standing(const balancing::PoolId &Pool) override;
   void wakeAt(const balancing::PoolId &Pool, TimePoint Time) override;
@@ -55,14 +52,14 @@
 
 private:
   const Clock &m_Clock;
+  boost::asio::io_context &m_Loop;
   balancing::PoolPolicy m_Policy;
   uint64_t m_NextSeed;
   PoolOutside m_Outside;
-  backend::Connections m_Connections;
+  backend::Sender m_Servers;
+  Timers m_Timers;
   mutable std::shared_mutex m_Mutex;
   std::map<balancing::PoolId, std::shared_ptr<PoolHost>> m_Pools;
-  std::unique_ptr<Workers> m_Helpers;
-  std::unique_ptr<Loop> m_Timers;
 };
 
 } // namespace hyssopcross::entry
--- a/libs/entry/include/hyssopcross/entry/UploadsHost.h
+++ b/libs/entry/include/hyssopcross/entry/UploadsHost.h
@@ -1,37 +1,40 @@
 #ifndef HYSSOPCROSS_ENTRY_UPLOADSHOST_H
 #define HYSSOPCROSS_ENTRY_UPLOADSHOST_H
 
-#include "hyssopcross/entry/Loop.h"
 #include "hyssopcross/entry/PoolHost.h"
 #include "hyssopcross/entry/StoreAccess.h"
+#include "hyssopcross/entry/Timers.h"
 #include "hyssopcross/uploads/Uploads.h"
-#include <condition_variable>
 #include <functional>
 #include <mutex>
 
 namespace hyssopcross::entry {
 
-/// Hosts the decisions about uploads. An upload waits in the thread that
-/// brought it; held ones are delivered by threads of this object. All
-/// functions are safe from any thread.
+/// Hosts the decisions about uploads. Functions are safe from any thread;
+/// callbacks are called on the loop's thread.
 class UploadsHost {
 public:
-  /// Sends a held upload to a backend server and returns how that ended.
-  using Deliver = std::function<CallResult(const uploads::DeliverUpload &)>;
+  /// Sends a held upload to a backend server and reports how that ended.
+  using Deliver =
+      std::function<void(const uploads::DeliverUpload &, ResultCallback)>;
+  /// Sends an upload with the identity to use, and reports how that ended.
+  using SendCall = std::function<void(const std::string &, ResultCallback)>;
+  using AnswerCallback = std::function<void(const uploads::Answer &)>;
 
   /// Process identifies this process start among all, for good.
   UploadsHost(std::string Process, uploads::UploadPolicy Policy, uint64_t Seed,
-              const Clock &Time, StoreAccess &Store, Loop &Timers,
-              Deliver Delivery);
+              const Clock &Time, boost::asio::io_context &Loop,
+              StoreAccess &Store, Timers &Wakes, Deliver Delivery);
 
-  /// Runs an upload whose body stays valid until the return. Send is called
-  /// for each send with the identity to use. Returns the final answer.
-  uploads::Answer
-  run(const uploads::UploadHead &Head, std::string_view Body, WallTime Deadline,
-      const std::function<CallResult(const std::string &)> &Send);
+  /// Begins an upload; Body is kept until the answer. Send is called for each
+  /// send; Done is called once, with the final answer.
+  void run(const uploads::UploadHead &Head,
+           std::shared_ptr<const std::string> Body, WallTime Deadline,
+           SendCall Send, AnswerCallback Done);
 
-  /// The receipt of an upload that was held.
-  uploads::Answer receipt(const std::string &Service, const std::string &Key);
+  /// Asks for the receipt of an upload that was held.
+  void receipt(const std::string &Service, const std::string &Key,
+               AnswerCallback Done);
 
   /// Whether this process delivers the service's held uploads.
   void setDeliverer(const std::string &Service, bool Delivers);
@@ -39,16 +42,12 @@
   /// Counts since the start.
   uploads::UploadCounters counters();
 
-  /// Ends the threads that deliver; call before what they use ends.
-  void end() { m_Deliveries.reset(); }
-
 private:
-  /// An upload whose thread is inside run(), or a receipt asked for.
-  struct WaitingCall {
-    std::condition_variable m_Changed;
-    std::string_view m_Body;
-    std::optional<std::string> m_Send;
-    std::optional<uploads::Answer> m_Answer;
+  /// An upload without a final answer, or a receipt asked for.
+  struct OpenCall {
+    std::shared_ptr<const std::string> m_Body;
+    SendCall m_Send;
+    AnswerCallback m_Done;
   };
 
   void apply(const uploads::Event &Event);
@@ -63,14 +62,14 @@
   template <typename Request> void request(const Request &Action);
 
   const Clock &m_Clock;
+  boost::asio::io_context &m_Loop;
   StoreAccess &m_Store;
-  Loop &m_Timers;
+  Timers &m_Timers;
   Deliver m_Deliver;
   std::mutex m_Mutex;
   uploads::UploadState m_State;
   uploads::CallId m_LastCall = 0;
-  std::map<uploads::CallId, WaitingCall *> m_Waiting;
-  std::unique_ptr<Workers> m_Deliveries;
+  std::map<uploads::CallId, OpenCall> m_Calls;
 };
 
 } // namespace hyssopcross::entry
--- a/libs/entry/src/CallParse.cpp
+++ b/libs/entry/src/CallParse.cpp
@@ -14,6 +14,9 @@
 /// Longest correlation id, idempotency key or share key, in bytes.
 constexpr size_t MaxIdentifierBytes = 200;
 
+/// Forwards between entry VMs that a request may name; more than any VM makes.
+constexpr uint32_t MaxHops = 8;
+
 /// Deepest nesting of calls.
 constexpr uint32_t MaxDepth = 8;
 
@@ -32,7 +35,9 @@
 constexpr std::array OwnHeaders = {
     protocol::CorrelationHeader, protocol::DeadlineHeader,
     protocol::TimeoutHeader,     protocol::DepthHeader,
-    protocol::AttemptsHeader,    protocol::TraceParentHeader};
+    protocol::AttemptsHeader,    protocol::TraceParentHeader,
+    protocol::HopsHeader,        protocol::PoolHeader,
+    protocol::HandedOverHeader};
 
 template <typename Names>
 bool isOneOf(const Names &Listed, std::string_view Name) {
@@ -48,9 +53,9 @@
                      [](char C) { return C > ' ' && C < 0x7f; });
 }
 
-Result<std::string> readIdentifier(const web::HttpRequest &Request,
+Result<std::string> readIdentifier(const http::Request &Request,
                                    const char *Name) {
-  std::string_view Text = Request.header(Name).value_or("");
+  std::string_view Text = http::headerOf(Request, Name);
   if (!isIdentifier(Text))
     return fail(ErrorCode::InvalidInput,
                 std::string("header ") + Name +
@@ -59,15 +64,16 @@
 }
 
 template <typename Number>
-Result<Number> readNumber(const web::HttpRequest &Request, const char *Name,
+Result<Number> readNumber(const http::Request &Request, const char *Name,
                           Number Default, Number Least, Number Most) {
-  auto Text = Request.header(Name);
-  if (!Text)
+  auto Found = Request.find(Name);
+  if (Found == Request.end())
     return Default;
+  std::string_view Text = http::toView(Found->value());
   Number Value{};
   auto [End, Failure] =
-      std::from_chars(Text->data(), Text->data() + Text->size(), Value);
-  if (Failure != std::errc() || End != Text->data() + Text->size() ||
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Failure != std::errc() || End != Text.data() + Text.size() ||
       Value < Least || Value > Most)
     return fail(ErrorCode::InvalidInput,
                 std::string("header ") + Name + " must be a number from " +
@@ -75,14 +81,15 @@
   return Value;
 }
 
-void copyHeaders(const web::HttpRequest &Request, IncomingCall &Call) {
-  for (const auto &[Name, Value] : Request.m_Headers)
+void copyHeaders(const http::Request &Request, IncomingCall &Call) {
+  for (const auto &Field : Request) {
+    std::string_view Name = http::toView(Field.name_string());
     if (!isHopHeader(Name) && !isOneOf(OwnHeaders, Name))
-      Call.m_Headers.emplace_back(Name, Value);
+      Call.m_Headers.emplace_back(Name, http::toView(Field.value()));
+  }
 }
 
-Result<void> readIdentifiers(const web::HttpRequest &Request,
-                             IncomingCall &Call) {
+Result<void> readIdentifiers(const http::Request &Request, IncomingCall &Call) {
   struct Field {
     const char *m_Name;
     std::string &m_Target;
@@ -92,7 +99,8 @@
       {protocol::IdempotencyKeyHeader, Call.m_IdempotencyKey},
       {protocol::ContentDigestHeader, Call.m_ContentDigest},
       {protocol::TraceParentHeader, Call.m_TraceParent},
-      {protocol::ShareHeader, Call.m_ShareKey}};
+      {protocol::ShareHeader, Call.m_ShareKey},
+      {protocol::PoolHeader, Call.m_PoolDataCentre}};
   for (const Field &Each : Fields) {
     auto Value = readIdentifier(Request, Each.m_Name);
     if (!Value)
@@ -102,7 +110,7 @@
   return boost::outcome_v2::success();
 }
 
-Result<void> readCounts(const web::HttpRequest &Request, IncomingCall &Call) {
+Result<void> readCounts(const http::Request &Request, IncomingCall &Call) {
   auto Attempts =
       readNumber<uint32_t>(Request, protocol::AttemptsHeader, 0, 0, UINT32_MAX);
   if (!Attempts)
@@ -111,12 +119,22 @@
       readNumber<uint32_t>(Request, protocol::DepthHeader, 1, 1, MaxDepth);
   if (!Depth)
     return fail(Depth.error().m_Code, Depth.error().m_Message);
+  auto Hops =
+      readNumber<uint32_t>(Request, protocol::HopsHeader, 0, 0, MaxHops);
+  if (!Hops)
+    return fail(Hops.error().m_Code, Hops.error().m_Message);
+  auto HandedOver =
+      readNumber<uint32_t>(Request, protocol::HandedOverHeader, 0, 0, 1);
+  if (!HandedOver)
+    return fail(HandedOver.error().m_Code, HandedOver.error().m_Message);
+  Call.m_HandedOver = HandedOver.value() != 0;
   Call.m_Attempts = Attempts.value();
   Call.m_Depth = Depth.value();
+  Call.m_Hops = Hops.value();
   return boost::outcome_v2::success();
 }
 
-Result<void> readDeadline(const web::HttpRequest &Request, WallTime Now,
+Result<void> readDeadline(const http::Request &Request, WallTime Now,
                           Duration DefaultTimeout, IncomingCall &Call) {
   constexpr int64_t MaxTimeoutMs = 3'600'000;
   auto DefaultMs =
@@ -140,9 +158,9 @@
 
 bool isHopHeader(std::string_view Name) { return isOneOf(HopHeaders, Name); }
 
-Result<IncomingCall> parseCall(const web::HttpRequest &Request, WallTime Now,
+Result<IncomingCall> parseCall(http::Request &Request, WallTime Now,
                                Duration DefaultTimeout) {
-  std::string_view Rest = Request.m_Target;
+  std::string_view Rest = http::toView(Request.target());
   if (Rest.substr(0, CallPrefix.size()) != CallPrefix)
     return fail(ErrorCode::InvalidInput, "the path must be /call/SERVICE/...");
   Rest.remove_prefix(CallPrefix.size());
@@ -152,8 +170,7 @@
   Rest.remove_prefix(End);
   Call.m_Target =
       Rest.starts_with('/') ? std::string(Rest) : "/" + std::string(Rest);
-  Call.m_Method = std::string(Request.m_Method);
-  Call.m_Body = Request.m_Body;
+  Call.m_Method = std::string(http::toView(Request.method_string()));
   auto Identifiers = readIdentifiers(Request, Call);
   if (!Identifiers)
     return fail(Identifiers.error().m_Code, Identifiers.error().m_Message);
@@ -164,6 +181,7 @@
   if (!Deadline)
     return fail(Deadline.error().m_Code, Deadline.error().m_Message);
   copyHeaders(Request, Call);
+  Call.m_Body = std::move(Request.body());
   return Call;
 }
 
--- a/libs/entry/src/CallerFront.cpp
+++ b/libs/entry/src/CallerFront.cpp
@@ -15,17 +15,12 @@
 /// A part of the budget for bodies, for the life of the object.
 class BodyReservation {
 public:
-  BodyReservation(std::mutex &Mutex, uploads::BodyBudget &Budget,
-                  uint64_t Bytes)
-      : m_Mutex(Mutex), m_Budget(Budget), m_Bytes(Bytes) {
-    std::lock_guard Lock(m_Mutex);
-    m_Granted = uploads::reserve(m_Budget, m_Bytes);
-  }
+  BodyReservation(uploads::BodyBudget &Budget, uint64_t Bytes)
+      : m_Budget(Budget), m_Bytes(Bytes),
+        m_Granted(uploads::reserve(Budget, Bytes)) {}
   ~BodyReservation() {
-    if (!m_Granted)
-      return;
-    std::lock_guard Lock(m_Mutex);
-    uploads::release(m_Budget, m_Bytes);
+    if (m_Granted)
+      uploads::release(m_Budget, m_Bytes);
   }
   BodyReservation(const BodyReservation &) = delete;
   BodyReservation &operator=(const BodyReservation &) = delete;
@@ -33,10 +28,9 @@
   bool granted() const { return m_Granted; }
 
 private:
-  std::mutex &m_Mutex;
   uploads::BodyBudget &m_Budget;
   uint64_t m_Bytes;
-  bool m_Granted = false;
+  bool m_Granted;
 };
 
 /// Time allowed for a request of a service that the catalogue does not name.
@@ -80,57 +74,65 @@
   m_Bodies.m_Limit = BodyBytes;
 }
 
-web::HttpAnswer CallerFront::handle(const web::HttpRequest &Request) {
+void CallerFront::handle(const std::shared_ptr<http::Exchange> &Asked) {
   std::string CorrelationId(
-      Request.header(protocol::CorrelationHeader).value_or(""));
+      http::headerOf(Asked->m_Request, protocol::CorrelationHeader));
   if (CorrelationId.empty())
     CorrelationId = makeCorrelationId();
-  CallerAnswer Answer = answer(Request, CorrelationId);
-  web::HttpAnswer Sent;
-  Sent.m_Status = Answer.m_Status;
-  Sent.m_Body = std::move(Answer.m_Body);
-  for (auto &[Name, Value] : Answer.m_Headers)
-    if (strcasecmp(Name.c_str(), protocol::CorrelationHeader) != 0)
-      Sent.m_Headers.emplace_back(std::move(Name), std::move(Value));
-  Sent.m_Headers.emplace_back(protocol::CorrelationHeader, CorrelationId);
-  Sent.m_Headers.emplace_back(protocol::OutcomeHeader,
-                              protocol::outcomeName(Answer.m_Outcome));
-  return Sent;
-}
-
-CallerAnswer CallerFront::answer(const web::HttpRequest &Request,
-                                 const std::string &CorrelationId) {
-  std::string_view Path = Request.path();
+  CallerCallback Done = [Asked, CorrelationId](CallerAnswer Answer) {
+    Asked->answer(toResponse(std::move(Answer), CorrelationId));
+  };
+  std::string_view Target = http::toView(Asked->m_Request.target());
+  std::string_view Path = http::pathOf(Target);
   if (Path == "/addresses")
-    return answerAddresses(Request);
+    return Done(answerAddresses(Target));
   if (Path.starts_with("/call/"))
-    return answerCall(Request, CorrelationId);
+    return answerCall(Asked, CorrelationId, std::move(Done));
   if (Path.starts_with(ReceiptPrefix))
-    return answerReceipt(Path.substr(ReceiptPrefix.size()));
-  return originatedAnswer(404, Outcome::NotRun, "unknown-path",
-                          "The paths are /addresses, /call/SERVICE/... and "
-                          "/uploads/SERVICE/KEY.");
+    return answerReceipt(Path.substr(ReceiptPrefix.size()), std::move(Done));
+  Done(originatedAnswer(404, Outcome::NotRun, "unknown-path",
+                        "The paths are /addresses, /call/SERVICE/... and "
+                        "/uploads/SERVICE/KEY."));
+}
+
+http::Response CallerFront::refuseInput(unsigned Status) {
+  constexpr unsigned TooLarge = 413;
+  constexpr unsigned NoMemory = 503;
+  CallerAnswer Answer;
+  if (Status == NoMemory)
+    Answer = refusedAnswer(Status, "no-memory",
+                           "The bodies of other requests take up the memory.",
+                           NoMemoryRetryAfter);
+  else if (Status == TooLarge)
+    Answer = originatedAnswer(Status, Outcome::NotRun, "body-too-large",
+                              "The body exceeds the limit of this VM.");
+  else
+    Answer = originatedAnswer(Status, Outcome::NotRun, "malformed-request",
+                              "The request can't be read, or came too slowly.");
+  return toResponse(std::move(Answer), makeCorrelationId());
 }
 
-CallerAnswer CallerFront::answerReceipt(std::string_view Rest) {
+void CallerFront::answerReceipt(std::string_view Rest, CallerCallback Done) {
   size_t Slash = Rest.find('/');
   if (Slash == std::string_view::npos || Slash + 1 == Rest.size())
-    return originatedAnswer(400, Outcome::NotRun, "malformed-request",
-                            "The path must be /uploads/SERVICE/KEY.");
-  return m_Router.receipt(std::string(Rest.substr(0, Slash)),
-                          std::string(Rest.substr(Slash + 1)));
+    return Done(originatedAnswer(400, Outcome::NotRun, "malformed-request",
+                                 "The path must be /uploads/SERVICE/KEY."));
+  m_Router.receipt(std::string(Rest.substr(0, Slash)),
+                   std::string(Rest.substr(Slash + 1)), std::move(Done));
 }
 
-CallerAnswer CallerFront::answerAddresses(const web::HttpRequest &Request) {
-  auto Service = Request.parameter("service");
-  if (!Service)
+CallerAnswer CallerFront::answerAddresses(std::string_view Target) {
+  std::string Service = http::queryParameter(Target, "service");
+  if (Service.empty())
     return originatedAnswer(400, Outcome::NotRun, "no-service",
                             "The parameter service is missing.");
   std::shared_ptr<const addresses::RoutingView> View = m_Control.routing();
-  std::string DataCentre(
-      Request.parameter("data_centre").value_or(View->m_DataCentre));
-  auto Found = addresses::addressesFor(*View, *Service, DataCentre,
-                                       m_Clock.now(), random());
+  std::string DataCentre = http::queryParameter(Target, "data_centre");
+  if (DataCentre.empty())
+    DataCentre = View->m_DataCentre;
+  double Draw = std::uniform_real_distribution<>()(m_Random);
+  auto Found =
+      addresses::addressesFor(*View, Service, DataCentre, m_Clock.now(), Draw);
   if (!Found)
     return originatedAnswer(404, Outcome::NotRun, "unknown-service",
                             Found.error().m_Message);
@@ -138,53 +140,69 @@
   Answer.m_Outcome = Outcome::Completed;
   Answer.m_Status = 200;
   Answer.m_Headers.emplace_back("Content-Type", "application/json");
-  Answer.m_Body = toJson(Found.value(), *Service).dump();
+  Answer.m_Body = toJson(Found.value(), Service).dump();
   return Answer;
 }
 
-CallerAnswer CallerFront::answerCall(const web::HttpRequest &Request,
-                                     const std::string &CorrelationId) {
+void CallerFront::answerCall(const std::shared_ptr<http::Exchange> &Asked,
+                             const std::string &CorrelationId,
+                             CallerCallback Done) {
   std::shared_ptr<const addresses::RoutingView> View = m_Control.routing();
-  auto Call = parseCall(Request, m_Clock.wallNow(),
-                        defaultTimeout(*View, Request.path()));
+  std::string_view Path = http::pathOf(http::toView(Asked->m_Request.target()));
+  auto Call = parseCall(Asked->m_Request, m_Clock.wallNow(),
+                        defaultTimeout(*View, Path));
   if (!Call)
-    return originatedAnswer(400, Outcome::NotRun, "malformed-request",
-                            Call.error().m_Message);
-  IncomingCall &Incoming = Call.value();
-  Incoming.m_CorrelationId = CorrelationId;
-  BodyReservation Reserved(m_Mutex, m_Bodies, Request.m_Body.size());
-  if (!Reserved.granted())
-    return refusedAnswer(503, "no-memory",
-                         "The bodies of other requests take up the memory.",
-                         NoMemoryRetryAfter);
-  trace::HopSpan Span = m_Tracer.start("entry", Incoming.m_TraceParent);
-  Span.tag("request_id", CorrelationId);
-  Span.tag("service", Incoming.m_Service);
-  Incoming.m_TraceParent = trace::formatTraceParent(Span.context());
-  TimePoint Arrived = m_Clock.now();
-  CallerAnswer Answer = m_Router.serve(Incoming);
-  bool Known = View->m_Catalogue.m_Services.contains(Incoming.m_Service);
-  m_Metrics.countCall(Known ? Incoming.m_Service : "unknown", Answer.m_Outcome,
-                      m_Clock.now() - Arrived);
-  Span.tag("outcome", protocol::outcomeName(Answer.m_Outcome));
-  if (Answer.m_Outcome != Outcome::Completed)
-    logEvent(LogLevel::Info, "call_not_completed",
-             {{"request_id", CorrelationId},
-              {"service", Incoming.m_Service},
-              {"outcome", protocol::outcomeName(Answer.m_Outcome)},
-              {"status", Answer.m_Status},
-              {"code", Answer.m_Code}});
-  return Answer;
+    return Done(originatedAnswer(400, Outcome::NotRun, "malformed-request",
+                                 Call.error().m_Message));
+  Call.value().m_CorrelationId = CorrelationId;
+  auto Reserved =
+      std::make_shared<BodyReservation>(m_Bodies, Call.value().m_Body.size());
+  if (!Reserved->granted())
+    return Done(refusedAnswer(
+        503, "no-memory", "The bodies of other requests take up the memory.",
+        NoMemoryRetryAfter));
+  serve(Asked, std::move(Call.value()),
+        [Reserved, Done = std::move(Done)](CallerAnswer Answer) {
+          Done(std::move(Answer));
+        });
 }
 
-std::string CallerFront::makeCorrelationId() {
-  std::lock_guard Lock(m_Mutex);
-  return m_VmName + "-" + trace::formatSpanId(m_Random());
+void CallerFront::serve(const std::shared_ptr<http::Exchange> &Asked,
+                        IncomingCall Call, CallerCallback Done) {
+  auto Span = std::make_shared<trace::HopSpan>(
+      m_Tracer.start("entry", Call.m_TraceParent));
+  Span->tag("request_id", Call.m_CorrelationId);
+  Span->tag("service", Call.m_Service);
+  Call.m_TraceParent = trace::formatTraceParent(Span->context());
+  bool IsKnown =
+      m_Control.routing()->m_Catalogue.m_Services.contains(Call.m_Service);
+  std::string Service = IsKnown ? Call.m_Service : "unknown";
+  std::string CorrelationId = Call.m_CorrelationId;
+  auto Ended = [this, Span, Service, CorrelationId, Arrived = m_Clock.now(),
+                Done = std::move(Done)](CallerAnswer Answer) {
+    m_Metrics.countCall(Service, Answer.m_Outcome, m_Clock.now() - Arrived);
+    Span->tag("outcome", protocol::outcomeName(Answer.m_Outcome));
+    if (Answer.m_Outcome != Outcome::Completed)
+      logEvent(LogLevel::Info, "call_not_completed",
+               {{"request_id", CorrelationId},
+                {"service", Service},
+                {"outcome", protocol::outcomeName(Answer.m_Outcome)},
+                {"status", Answer.m_Status},
+                {"code", Answer.m_Code}});
+    Done(std::move(Answer));
+  };
+  auto Watch = m_Router.serve(std::move(Call), std::move(Ended));
+  if (Asked->isAnswered())
+    return;
+  Asked->onPeerGone([Watch, Service, CorrelationId] {
+    logEvent(LogLevel::Info, "caller_left",
+             {{"request_id", CorrelationId}, {"service", Service}});
+    Watch->abandon();
+  });
 }
 
-double CallerFront::random() {
-  std::lock_guard Lock(m_Mutex);
-  return std::uniform_real_distribution<>()(m_Random);
+std::string CallerFront::makeCorrelationId() {
+  return m_VmName + "-" + trace::formatSpanId(m_Random());
 }
 
 } // namespace hyssopcross::entry
--- a/libs/entry/src/ClaimsHost.cpp
+++ b/libs/entry/src/ClaimsHost.cpp
@@ -1,5 +1,6 @@
 #include "hyssopcross/entry/ClaimsHost.h"
-#include <strings.h>
+#include "hyssopcross/base/Invariant.h"
+#include <boost/asio/post.hpp>
 
 namespace hyssopcross::entry {
 
@@ -7,13 +8,6 @@
 
 namespace {
 
-std::string contentType(const backend::ServerAnswer &Answer) {
-  for (const auto &[Name, Value] : Answer.m_Headers)
-    if (strcasecmp(Name.c_str(), "Content-Type") == 0)
-      return Value;
-  return {};
-}
-
 claims::SendEnd toSendEnd(AttemptEnd End) {
   switch (End) {
   case AttemptEnd::Completed:
@@ -40,12 +34,13 @@
 
   bool maySend() override {
     std::lock_guard Lock(m_Host.m_Mutex);
-    auto Found = m_Host.m_Waiting.find(m_Call);
-    if (Found == m_Host.m_Waiting.end() || Found->second->m_Answer)
+    auto Found = m_Host.m_Calls.find(m_Call);
+    if (Found == m_Host.m_Calls.end())
       return false;
-    Found->second->m_MaySend.reset();
+    Found->second.m_MaySend = false;
     m_Host.stepLocked(claims::SendAsked{m_Call});
-    return Found->second->m_MaySend.value_or(false);
+    Found = m_Host.m_Calls.find(m_Call);
+    return Found != m_Host.m_Calls.end() && Found->second.m_MaySend;
   }
 
   void sendEnded(const backend::ServerAnswer &Answer) override {
@@ -53,8 +48,10 @@
     Ended.m_Call = m_Call;
     Ended.m_End = toSendEnd(Answer.m_End);
     if (Ended.m_End == claims::SendEnd::Completed)
-      Ended.m_Answer = {static_cast<uint16_t>(Answer.m_Status),
-                        contentType(Answer), Answer.m_Body};
+      Ended.m_Answer = {
+          static_cast<uint16_t>(Answer.m_Status),
+          std::string(backend::findHeader(Answer, "Content-Type")),
+          Answer.m_Body};
     m_Host.apply(Ended);
   }
 
@@ -64,33 +61,19 @@
 };
 
 ClaimsHost::ClaimsHost(std::string Process, claims::ClaimPolicy Policy,
-                       uint64_t Seed, const Clock &Time, StoreAccess &Store,
-                       Loop &Timers)
-    : m_Clock(Time), m_Store(Store), m_Timers(Timers),
+                       uint64_t Seed, const Clock &Time,
+                       boost::asio::io_context &Loop, StoreAccess &Store,
+                       Timers &Wakes)
+    : m_Clock(Time), m_Loop(Loop), m_Store(Store), m_Timers(Wakes),
       m_State(std::move(Process), Policy, Seed) {}
 
-claims::Answer
-ClaimsHost::run(const claims::MoneyArrived &Arrival,
-                const std::function<CallResult(SendGate &)> &Run) {
-  WaitingCall Waiting;
-  std::unique_lock Lock(m_Mutex);
+void ClaimsHost::run(const claims::MoneyArrived &Arrival, SendCall Send,
+                     AnswerCallback Done) {
+  std::lock_guard Lock(m_Mutex);
   claims::MoneyArrived Event = Arrival;
   Event.m_Call = ++m_LastCall;
-  m_Waiting[Event.m_Call] = &Waiting;
+  m_Calls[Event.m_Call] = {std::move(Send), std::move(Done)};
   stepLocked(Event);
-  auto Decided = [&Waiting] { return Waiting.m_Start || Waiting.m_Answer; };
-  Waiting.m_Changed.wait(Lock, Decided);
-  if (Waiting.m_Start && !Waiting.m_Answer) {
-    Lock.unlock();
-    Gate Asked(*this, Event.m_Call);
-    CallResult Result = Run(Asked);
-    report(Event.m_Call, Result);
-    Lock.lock();
-  }
-  Waiting.m_Changed.wait(Lock,
-                         [&Waiting] { return Waiting.m_Answer.has_value(); });
-  m_Waiting.erase(Event.m_Call);
-  return std::move(*Waiting.m_Answer);
 }
 
 void ClaimsHost::report(claims::CallId Call, const CallResult &Result) {
@@ -130,23 +113,29 @@
 }
 
 void ClaimsHost::carryOut(const claims::StartCall &Action) {
-  WaitingCall &Call = *m_Waiting.at(Action.m_Call);
-  Call.m_Start = true;
-  Call.m_Changed.notify_one();
+  SendCall Send = std::move(m_Calls.at(Action.m_Call).m_Send);
+  boost::asio::post(
+      m_Loop, [this, Call = Action.m_Call, Send = std::move(Send)] {
+        Send(std::make_shared<Gate>(*this, Call),
+             [this, Call](const CallResult &Result) { report(Call, Result); });
+      });
 }
 
 void ClaimsHost::carryOut(const claims::AllowSend &Action) {
-  m_Waiting.at(Action.m_Call)->m_MaySend = true;
+  m_Calls.at(Action.m_Call).m_MaySend = true;
 }
 
 void ClaimsHost::carryOut(const claims::DenySend &Action) {
-  m_Waiting.at(Action.m_Call)->m_MaySend = false;
+  m_Calls.at(Action.m_Call).m_MaySend = false;
 }
 
 void ClaimsHost::carryOut(const claims::Answer &Action) {
-  WaitingCall &Call = *m_Waiting.at(Action.m_Call);
-  Call.m_Answer = Action;
-  Call.m_Changed.notify_one();
+  auto Known = m_Calls.find(Action.m_Call);
+  HYSSOPCROSS_INVARIANT(Known != m_Calls.end(), "a call is answered once");
+  boost::asio::post(m_Loop, [Done = std::move(Known->second.m_Done), Action] {
+    Done(Action);
+  });
+  m_Calls.erase(Known);
 }
 
 void ClaimsHost::carryOut(const claims::WakeAt &Action) {
--- a/libs/entry/src/Control.cpp
+++ b/libs/entry/src/Control.cpp
@@ -30,7 +30,7 @@
       m_Ownership(identity(m_Settings.m_Self), m_Settings.m_Ownership,
                   Parts.m_Clock.now(), m_Settings.m_Seed + 1),
       m_Published(std::make_shared<addresses::RoutingView>()),
-      m_Loop(std::make_unique<Loop>(Parts.m_Clock)) {}
+      m_Timers(Parts.m_Loop, Parts.m_Clock) {}
 
 void Control::start() {
   post([this] {
@@ -44,10 +44,8 @@
   });
 }
 
-void Control::end() { m_Loop.reset(); }
-
 void Control::post(std::function<void()> Task) {
-  m_Loop->post([this, Task = std::move(Task)] {
+  m_Timers.post([this, Task = std::move(Task)] {
     Task();
     if (m_PublishDue)
       publish();
--- a/libs/entry/src/ControlCatalogue.cpp
+++ b/libs/entry/src/ControlCatalogue.cpp
@@ -103,7 +103,7 @@
 }
 
 void Control::carryOut(const catalogue::FollowerWakeAt &Action) {
-  m_Loop->schedule("follower", Action.m_Time, [this] {
+  m_Timers.schedule("follower", Action.m_Time, [this] {
     stepFollower(catalogue::FollowerWoke{});
     if (m_PublishDue)
       publish();
--- a/libs/entry/src/ControlMembership.cpp
+++ b/libs/entry/src/ControlMembership.cpp
@@ -134,7 +134,7 @@
 }
 
 void Control::carryOut(const membership::WakeAt &Action) {
-  m_Loop->schedule("membership", Action.m_Time, [this] {
+  m_Timers.schedule("membership", Action.m_Time, [this] {
     stepMembership(membership::Woke{});
     if (m_PublishDue)
       publish();
--- a/libs/entry/src/ControlOwnership.cpp
+++ b/libs/entry/src/ControlOwnership.cpp
@@ -134,7 +134,7 @@
 }
 
 void Control::carryOut(const ownership::WakeAt &Action) {
-  m_Loop->schedule("ownership", Action.m_Time, [this] {
+  m_Timers.schedule("ownership", Action.m_Time, [this] {
     stepOwnership(ownership::Woke{});
     if (m_PublishDue)
       publish();
@@ -251,8 +251,8 @@
              [Digests = Digests](peer::wire::PeerClient &Peer) {
                Peer.poolDigests(Digests);
              });
-  m_Loop->schedule("digests", m_Parts.m_Clock.now() + DigestPause,
-                   [this] { sendDigests(); });
+  m_Timers.schedule("digests", m_Parts.m_Clock.now() + DigestPause,
+                    [this] { sendDigests(); });
 }
 
 } // namespace hyssopcross::entry
--- a/libs/entry/src/Node.cpp
+++ b/libs/entry/src/Node.cpp
@@ -1,6 +1,9 @@
 #include "hyssopcross/entry/Node.h"
 #include "hyssopcross/base/Log.h"
 #include "hyssopcross/platform/HttpPlatform.h"
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <future>
 #include <thread>
 
 namespace hyssopcross::entry {
@@ -10,6 +13,9 @@
 /// Pause between two looks at whether a stop is done.
 constexpr Duration StopPoll = std::chrono::milliseconds(20);
 
+/// Pause between two looks at connections that are idle or silent.
+constexpr Duration SweepPause = std::chrono::milliseconds(200);
+
 /// Pause between two looks at which services' records this VM looks after.
 constexpr Duration UpkeepPause = std::chrono::seconds(2);
 
@@ -55,39 +61,42 @@
         m_VmList(platform::connectVmList(Settings.m_Platform,
                                          Settings.m_StoreTimeout)),
         m_Tracer(Settings.m_TraceShare, Settings.m_Seed),
-        m_Timers(std::make_unique<Loop>(Time)),
+        m_Timers(m_Loop, Time),
         m_PeerThreads(std::make_unique<Workers>(Settings.m_PeerThreads)),
         m_StoreThreads(std::make_unique<Workers>(Settings.m_StoreThreads)),
         m_Store(*m_Table, *m_Objects, *m_StoreThreads),
-        m_Pools(Time, Settings.m_Pool, Settings.m_Seed, outside()),
+        m_Pools(Time, m_Loop, Settings.m_Pool, Settings.m_Seed, outside()),
         m_Control(controlSettings(Settings, Time),
-                  {Time, m_Store, *m_VmList, *m_StoreThreads, m_Peers,
+                  {Time, m_Loop, m_Store, *m_VmList, *m_StoreThreads, m_Peers,
                    *m_PeerThreads, m_Pools}),
         m_Claims(processName(Settings, Time), Settings.m_Claims,
-                 Settings.m_Seed, Time, m_Store, *m_Timers),
-        m_Uploads(processName(Settings, Time), Settings.m_Uploads,
-                  Settings.m_Seed, Time, m_Store, *m_Timers,
-                  [this](const uploads::DeliverUpload &Held) {
-                    return m_Router.deliver(Held);
-                  }),
+                 Settings.m_Seed, Time, m_Loop, m_Store, m_Timers),
+        m_Uploads(
+            processName(Settings, Time), Settings.m_Uploads, Settings.m_Seed,
+            Time, m_Loop, m_Store, m_Timers,
+            [this](const uploads::DeliverUpload &Held, ResultCallback Done) {
+              m_Router.deliver(Held, std::move(Done));
+            }),
         m_Router(
-            {Time, m_Control, m_Pools, m_Claims, m_Uploads, m_Peers, m_Tracer}),
+            {Time, m_Loop, m_Control, m_Pools, m_Claims, m_Uploads, m_Tracer}),
         m_Front(Time, m_Control, m_Router, m_Tracer, m_Metrics, Settings.m_Name,
                 Settings.m_Seed, Settings.m_BodyBudget),
-        m_OperatorFront(Time, *m_Table, m_Control, m_Pools, m_Claims,
-                        m_Metrics) {}
+        m_OperatorFront(Time, m_Loop, *m_Table, m_Control, m_Pools, m_Claims,
+                        m_Metrics),
+        m_Operators(m_Loop, Time,
+                    [this](auto Asked) { m_OperatorFront.handle(Asked); }),
+        m_Callers(m_Loop, Time, [this](auto Asked) { m_Front.handle(Asked); }) {
+  }
 
-  /// Ends the threads before anything that they use.
+  /// Ends the threads that wait while the loop still runs, then the loop.
   ~Parts() {
-    m_Callers.reset();
-    m_Operators.reset();
     m_PeerServer.reset();
+    m_OperatorFront.end();
     m_StoreThreads.reset();
     m_PeerThreads.reset();
-    m_Uploads.end();
-    m_Pools.end();
-    m_Control.end();
-    m_Timers.reset();
+    m_Loop.stop();
+    if (m_Thread.joinable())
+      m_Thread.join();
   }
 
   PoolOutside outside() {
@@ -103,13 +112,28 @@
             }};
   }
 
+  /// Asks on the loop's thread and waits for the answer.
+  template <typename Function> auto ask(Function Question) {
+    std::promise<decltype(Question())> Answer;
+    boost::asio::post(m_Loop, [&] {
+      if constexpr (std::is_void_v<decltype(Question())>) {
+        Question();
+        Answer.set_value();
+      } else {
+        Answer.set_value(Question());
+      }
+    });
+    return Answer.get_future().get();
+  }
+
+  boost::asio::io_context m_Loop;
   std::unique_ptr<platform::Table> m_Table;
   std::unique_ptr<platform::ObjectStore> m_Objects;
   std::unique_ptr<platform::VmList> m_VmList;
   trace::Tracer m_Tracer;
   Metrics m_Metrics;
   peer::PeerClients m_Peers;
-  std::unique_ptr<Loop> m_Timers;
+  Timers m_Timers;
   std::unique_ptr<Workers> m_PeerThreads;
   std::unique_ptr<Workers> m_StoreThreads;
   StoreAccess m_Store;
@@ -120,9 +144,10 @@
   Router m_Router;
   CallerFront m_Front;
   OperatorFront m_OperatorFront;
+  http::Listener m_Operators;
+  http::Listener m_Callers;
   std::unique_ptr<peer::PeerServer> m_PeerServer;
-  std::unique_ptr<web::HttpServer> m_Operators;
-  std::unique_ptr<web::HttpServer> m_Callers;
+  std::thread m_Thread;
 };
 
 Node::Node(NodeSettings Settings)
@@ -131,33 +156,33 @@
 
 Node::~Node() = default;
 
-Result<void> Node::start() {
+Result<void> Node::listen() {
   auto Peers = peer::PeerServer::start(
       m_Settings.m_PeerListen,
-      std::make_shared<PeerHandler>(m_Parts->m_Control, m_Parts->m_Router));
+      std::make_shared<PeerHandler>(m_Parts->m_Control));
   if (!Peers)
     return fail(Peers.error().m_Code, Peers.error().m_Message);
   m_Parts->m_PeerServer = std::move(Peers.value());
-  auto Operators =
-      web::HttpServer::start(m_Settings.m_AdminListen,
-                             [this](const web::HttpRequest &Request) {
-                               return m_Parts->m_OperatorFront.handle(Request);
-                             },
-                             {});
+  m_Parts->m_Callers.setLimits(m_Settings.m_CallerLimits);
+  m_Parts->m_Callers.setRefusal(
+      [this](unsigned Status) { return m_Parts->m_Front.refuseInput(Status); });
+  auto Operators = m_Parts->m_Operators.listen(m_Settings.m_AdminListen);
   if (!Operators)
-    return fail(Operators.error().m_Code, Operators.error().m_Message);
-  m_Parts->m_Operators = std::move(Operators.value());
+    return Operators;
+  return m_Parts->m_Callers.listen(m_Settings.m_Listen);
+}
+
+Result<void> Node::start() {
+  auto Listening = listen();
+  if (!Listening)
+    return Listening;
   m_Parts->m_Control.start();
-  m_Parts->m_Timers->post([this] { assignUpkeep(); });
-  auto Callers = web::HttpServer::start(
-      m_Settings.m_Listen,
-      [this](const web::HttpRequest &Request) {
-        return m_Parts->m_Front.handle(Request);
-      },
-      m_Settings.m_CallerLimits);
-  if (!Callers)
-    return fail(Callers.error().m_Code, Callers.error().m_Message);
-  m_Parts->m_Callers = std::move(Callers.value());
+  m_Parts->m_Timers.post([this] { assignUpkeep(); });
+  m_Parts->m_Timers.post([this] { sweep(); });
+  m_Parts->m_Thread = std::thread([this] {
+    auto StayIdle = boost::asio::make_work_guard(m_Parts->m_Loop);
+    m_Parts->m_Loop.run();
+  });
   logEvent(LogLevel::Info, "started",
            {{"vm", m_Settings.m_Name},
             {"data_centre", m_Settings.m_DataCentre},
@@ -166,6 +191,15 @@
   return boost::outcome_v2::success();
 }
 
+void Node::sweep() {
+  m_Parts->m_Callers.sweep();
+  m_Parts->m_Operators.sweep();
+  m_Parts->m_Pools.sweep();
+  m_Parts->m_Router.sweep();
+  m_Parts->m_Timers.schedule("sweep", m_Clock.now() + SweepPause,
+                             [this] { sweep(); });
+}
+
 void Node::assignUpkeep() {
   std::shared_ptr<const addresses::RoutingView> View =
       m_Parts->m_Control.routing();
@@ -180,8 +214,8 @@
     if (Entry.m_Class == catalogue::ServiceClass::Upload)
       m_Parts->m_Uploads.setDeliverer(Service, Ours);
   }
-  m_Parts->m_Timers->schedule("upkeep", m_Clock.now() + UpkeepPause,
-                              [this] { assignUpkeep(); });
+  m_Parts->m_Timers.schedule("upkeep", m_Clock.now() + UpkeepPause,
+                             [this] { assignUpkeep(); });
 }
 
 void Node::stop() {
@@ -192,9 +226,14 @@
   while ((!m_Parts->m_Control.drained() || m_Clock.now() < Linger) &&
          m_Clock.now() < GiveUp)
     std::this_thread::sleep_for(StopPoll);
-  m_Parts->m_Callers->stopAccepting();
+  m_Parts->ask([this] {
+    m_Parts->m_Callers.stopAccepting();
+    m_Parts->m_Callers.closeAfterAnswers();
+    m_Parts->m_Callers.closeIdle();
+  });
   auto Busy = [this] {
-    return m_Parts->m_Callers->runningHandlers() != 0 ||
+    return m_Parts->ask([this] { return m_Parts->m_Callers.busyCount(); }) !=
+               0 ||
            m_Parts->m_Claims.open() != 0;
   };
   while (Busy() && m_Clock.now() < GiveUp)
--- a/libs/entry/src/OperatorFront.cpp
+++ b/libs/entry/src/OperatorFront.cpp
@@ -1,4 +1,5 @@
 #include "hyssopcross/entry/OperatorFront.h"
+#include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -6,42 +7,27 @@
 
 namespace {
 
-int hexDigit(char C) {
-  if (C >= '0' && C <= '9')
-    return C - '0';
-  if (C >= 'a' && C <= 'f')
-    return C - 'a' + 10;
-  if (C >= 'A' && C <= 'F')
-    return C - 'A' + 10;
-  return -1;
-}
+/// Operators' requests that wait for the store at once.
+constexpr unsigned OperatorThreads = 4;
 
-/// Decodes %XX; a malformed sequence stays as it is.
-std::string percentDecode(std::string_view Text) {
-  std::string Decoded;
-  for (size_t I = 0; I < Text.size(); ++I) {
-    int High = I + 2 < Text.size() ? hexDigit(Text[I + 1]) : -1;
-    int Low = I + 2 < Text.size() ? hexDigit(Text[I + 2]) : -1;
-    if (Text[I] != '%' || High < 0 || Low < 0) {
-      Decoded += Text[I];
-      continue;
-    }
-    Decoded += static_cast<char>(High * 16 + Low);
-    I += 2;
-  }
-  return Decoded;
-}
+/// Operators' requests that wait for a thread.
+constexpr size_t MaxWaiting = 64;
 
-admin::AdminRequest toAdmin(const web::HttpRequest &Request) {
+admin::AdminRequest toAdmin(const http::Request &Request) {
+  std::string_view Target = http::toView(Request.target());
+  std::string_view Path = http::pathOf(Target);
+  std::string_view Query =
+      Target.substr(std::min(Path.size() + 1, Target.size()));
   admin::AdminRequest Made;
-  Made.m_Method = std::string(Request.m_Method);
-  Made.m_Path = percentDecode(Request.path());
-  for (std::string_view Part : splitList(Request.query(), '&')) {
+  Made.m_Method = std::string(http::toView(Request.method_string()));
+  Made.m_Path = http::percentDecoded(Path);
+  for (std::string_view Part : splitList(Query, '&')) {
     size_t Equals = std::min(Part.find('='), Part.size());
     std::string_view Value = Part.substr(std::min(Equals + 1, Part.size()));
-    Made.m_Query[percentDecode(Part.substr(0, Equals))] = percentDecode(Value);
+    Made.m_Query[http::percentDecoded(Part.substr(0, Equals))] =
+        http::percentDecoded(Value);
   }
-  Made.m_Body = std::string(Request.m_Body);
+  Made.m_Body = Request.body();
   return Made;
 }
 
@@ -63,11 +49,13 @@
 
 } // namespace
 
-OperatorFront::OperatorFront(const Clock &Time, platform::Table &Table,
-                             Control &Routing, Pools &Served,
-                             ClaimsHost &Claims, Metrics &Figures)
-    : m_Control(Routing), m_Pools(Served), m_Claims(Claims),
-      m_Metrics(Figures) {
+OperatorFront::OperatorFront(const Clock &Time, boost::asio::io_context &Loop,
+                             platform::Table &Table, Control &Routing,
+                             Pools &Served, ClaimsHost &Claims,
+                             Metrics &Figures)
+    : m_Loop(Loop), m_Control(Routing), m_Pools(Served), m_Claims(Claims),
+      m_Metrics(Figures),
+      m_Threads(std::make_unique<Workers>(OperatorThreads)) {
   m_Context.m_Table = &Table;
   m_Context.m_Clock = &Time;
   m_Context.m_Pause = [](Duration Pause) {
@@ -83,24 +71,31 @@
   m_Context.m_Status = [this] { return status(); };
 }
 
-web::HttpAnswer OperatorFront::handle(const web::HttpRequest &Request) {
-  if (Request.path() == "/metrics")
+void OperatorFront::handle(const std::shared_ptr<http::Exchange> &Asked) {
+  bool Posted = m_Threads->post(
+      [this, Asked] {
+        http::Response Answer = answer(Asked->m_Request);
+        boost::asio::post(m_Loop, [Asked, Answer = std::move(Answer)] {
+          Asked->answer(Answer);
+        });
+      },
+      MaxWaiting);
+  if (!Posted)
+    Asked->answer(http::makeResponse(503, "too many requests wait\n"));
+}
+
+http::Response OperatorFront::answer(const http::Request &Request) {
+  if (http::pathOf(http::toView(Request.target())) == "/metrics")
     return answerMetrics();
-  admin::AdminResponse Response =
-      admin::handleAdmin(m_Context, toAdmin(Request));
-  web::HttpAnswer Answer;
-  Answer.m_Status = Response.m_Status;
-  Answer.m_Headers.emplace_back("Content-Type", Response.m_ContentType);
-  Answer.m_Body = std::move(Response.m_Body);
-  return Answer;
+  admin::AdminResponse Answer = admin::handleAdmin(m_Context, toAdmin(Request));
+  return http::makeResponse(Answer.m_Status, Answer.m_Body,
+                            Answer.m_ContentType);
 }
 
-web::HttpAnswer OperatorFront::answerMetrics() {
+http::Response OperatorFront::answerMetrics() {
   updateGauges();
-  web::HttpAnswer Answer;
-  Answer.m_Headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
-  Answer.m_Body = m_Metrics.serialize();
-  return Answer;
+  return http::makeResponse(200, m_Metrics.serialize(),
+                            "text/plain; version=0.0.4");
 }
 
 std::string OperatorFront::status() {
--- a/libs/entry/src/PeerHandler.cpp
+++ b/libs/entry/src/PeerHandler.cpp
@@ -14,13 +14,7 @@
 
 } // namespace
 
-PeerHandler::PeerHandler(Control &Routing, Router &Calls)
-    : m_Control(Routing), m_Router(Calls) {}
-
-void PeerHandler::forward(peer::wire::ForwardedAnswer &Answer,
-                          const peer::wire::ForwardedCall &Call) {
-  Answer = toWire(m_Router.serveForwarded(fromWire(Call), fromWire(Call.pool)));
-}
+PeerHandler::PeerHandler(Control &Routing) : m_Control(Routing) {}
 
 void PeerHandler::heartbeat(const peer::wire::Heartbeat &Message) {
   auto Bundle = fromWire(Message);
--- a/libs/entry/src/PoolHost.cpp
+++ b/libs/entry/src/PoolHost.cpp
@@ -1,5 +1,6 @@
 #include "hyssopcross/entry/PoolHost.h"
 #include "hyssopcross/base/Invariant.h"
+#include <boost/asio/post.hpp>
 
 namespace hyssopcross::entry {
 
@@ -10,22 +11,26 @@
 /// Time allowed for a server to answer a probe.
 constexpr Duration ProbeTimeout = std::chrono::milliseconds(500);
 
-/// Attempts that wait for a helper thread.
-constexpr size_t MaxHelpedAttempts = 256;
+/// An attempt that ended before it was sent, for a reason that is not the
+/// server's.
+backend::ServerAnswer notSent(const char *Why) {
+  backend::ServerAnswer Answer;
+  Answer.m_Detail = Why;
+  Answer.m_ServerFault = false;
+  return Answer;
+}
 
 } // namespace
 
 PoolHost::PoolHost(PoolState State, const Clock &Time,
-                   backend::Connections &Servers, Workers &Helpers,
+                   boost::asio::io_context &Loop, backend::Sender &Servers,
                    PoolPorts &Ports)
-    : m_Clock(Time), m_Servers(Servers), m_Helpers(Helpers), m_Ports(Ports),
+    : m_Clock(Time), m_Loop(Loop), m_Servers(Servers), m_Ports(Ports),
       m_State(std::move(State)) {}
 
-CallResult PoolHost::run(const CallRequest &Call) {
-  std::unique_lock Lock(m_Mutex);
+CallId PoolHost::run(CallRequest Call, ResultCallback Done) {
+  std::lock_guard Lock(m_Mutex);
   CallId Id = ++m_LastCall;
-  WaitingCall Waiting(Call);
-  m_Waiting[Id] = &Waiting;
   CallArrived Arrival;
   Arrival.m_Call = Id;
   Arrival.m_Deadline = Call.m_Deadline;
@@ -33,29 +38,18 @@
   Arrival.m_PriorAttempts = Call.m_PriorAttempts;
   Arrival.m_Depth = Call.m_Depth;
   Arrival.m_HandedOver = Call.m_HandedOver;
+  auto Opened = std::make_shared<OpenCall>();
+  Opened->m_Call = std::move(Call);
+  Opened->m_Done = std::move(Done);
+  m_Calls[Id] = std::move(Opened);
   stepLocked(Arrival);
-  std::optional<CallResult> Result;
-  // Attempts of this call that helpers run use its request, so they have to
-  // end first; they were cancelled when the result was decided.
-  while (!Result || Waiting.m_Helping > 0) {
-    Waiting.m_Changed.wait(Lock, [&] {
-      return !Waiting.m_Inbox.empty() || (Result && Waiting.m_Helping == 0);
-    });
-    if (Waiting.m_Inbox.empty())
-      break;
-    Instruction Next = std::move(Waiting.m_Inbox.front());
-    Waiting.m_Inbox.pop_front();
-    if (const auto *Send = std::get_if<SendAttempt>(&Next))
-      performAttempt(Lock, Waiting, *Send);
-    else if (const auto *Finish = std::get_if<FinishCall>(&Next))
-      Result = CallAnswered{std::move(Waiting.m_Answers[Finish->m_Attempt])};
-    else if (const auto *Refuse = std::get_if<RefuseCall>(&Next))
-      Result = CallRefused{Refuse->m_Reason, Refuse->m_RetryAfter};
-    else if (const auto *Hand = std::get_if<HandOverCall>(&Next))
-      Result = CallHandedOver{Hand->m_Pool};
-  }
-  m_Waiting.erase(Id);
-  return std::move(*Result);
+  return Id;
+}
+
+void PoolHost::abandon(CallId Call) {
+  std::lock_guard Lock(m_Mutex);
+  if (m_Calls.erase(Call) != 0)
+    stepLocked(CallAbandoned{Call});
 }
 
 void PoolHost::apply(const Event &Event) {
@@ -101,68 +95,70 @@
     std::visit([this](const auto &Known) { carryOut(Known); }, Next);
 }
 
-void PoolHost::instruct(CallId Call, Instruction Next) {
-  auto Found = m_Waiting.find(Call);
-  HYSSOPCROSS_INVARIANT(Found != m_Waiting.end(),
-                        "actions name calls that are waiting");
-  Found->second->m_Inbox.push_back(std::move(Next));
-  Found->second->m_Changed.notify_one();
-}
-
 void PoolHost::carryOut(const SendAttempt &Action) {
-  if (!Action.m_Hedge) {
-    instruct(Action.m_Call, Action);
-    return;
-  }
-  WaitingCall *Call = m_Waiting.at(Action.m_Call);
-  ++Call->m_Helping;
-  bool Posted = m_Helpers.post(
-      [this, Call, Action] {
-        std::unique_lock Lock(m_Mutex);
-        performAttempt(Lock, *Call, Action);
-        --Call->m_Helping;
-        Call->m_Changed.notify_one();
-      },
-      MaxHelpedAttempts);
-  if (Posted)
-    return;
-  --Call->m_Helping;
-  m_Pending.push_back(
-      AttemptEnded{Action.m_Attempt, AttemptEnd::NotSent, {}, false});
+  auto Call = m_Calls.find(Action.m_Call);
+  HYSSOPCROSS_INVARIANT(Call != m_Calls.end(),
+                        "attempts are made for open calls");
+  m_Attempts[Action.m_Attempt] = {Action.m_Server, Call->second, nullptr};
+  boost::asio::post(m_Loop,
+                    [Self = shared_from_this(), Attempt = Action.m_Attempt] {
+                      Self->begin(Attempt);
+                    });
 }
 
 void PoolHost::carryOut(const CancelAttempt &Action) {
-  auto Running = m_Running.find(Action.m_Attempt);
-  if (Running == m_Running.end()) {
-    m_CancelledEarly.insert(Action.m_Attempt);
+  auto Known = m_Attempts.find(Action.m_Attempt);
+  if (Known == m_Attempts.end())
     return;
-  }
-  Running->second->cancel();
+  Known->second.m_Cancelled = true;
+  boost::asio::post(m_Loop,
+                    [Self = shared_from_this(), Attempt = Action.m_Attempt] {
+                      Self->cancel(Attempt);
+                    });
+}
+
+std::shared_ptr<PoolHost::OpenCall> PoolHost::closeLocked(CallId Call) {
+  auto Known = m_Calls.find(Call);
+  HYSSOPCROSS_INVARIANT(Known != m_Calls.end(), "a call ends once");
+  std::shared_ptr<OpenCall> Closed = std::move(Known->second);
+  m_Calls.erase(Known);
+  return Closed;
+}
+
+void PoolHost::finishLocked(const std::shared_ptr<OpenCall> &Call,
+                            CallResult Result) {
+  boost::asio::post(m_Loop, [Done = std::move(Call->m_Done),
+                             Result = std::move(Result)]() mutable {
+    Done(std::move(Result));
+  });
 }
 
 void PoolHost::carryOut(const FinishCall &Action) {
-  instruct(Action.m_Call, Action);
+  std::shared_ptr<OpenCall> Call = closeLocked(Action.m_Call);
+  finishLocked(Call,
+               CallAnswered{std::move(Call->m_Answers[Action.m_Attempt])});
 }
 
 void PoolHost::carryOut(const RefuseCall &Action) {
-  instruct(Action.m_Call, Action);
+  finishLocked(closeLocked(Action.m_Call),
+               CallRefused{Action.m_Reason, Action.m_RetryAfter});
 }
 
 void PoolHost::carryOut(const HandOverCall &Action) {
-  instruct(Action.m_Call, Action);
+  finishLocked(closeLocked(Action.m_Call), CallHandedOver{Action.m_Pool});
 }
 
 void PoolHost::carryOut(const SendProbe &Action) {
-  bool Posted =
-      m_Helpers.post([Self = shared_from_this(),
-                      Server = Action.m_Server] { Self->probe(Server); },
-                     MaxHelpedAttempts);
-  if (!Posted)
-    m_Pending.push_back(ProbeEnded{Action.m_Server, {}});
+  boost::asio::post(m_Loop,
+                    [Self = shared_from_this(), Server = Action.m_Server] {
+                      Self->probe(Server);
+                    });
 }
 
 void PoolHost::carryOut(const KeepConnections &Action) {
-  m_Servers.keep(Action.m_Server, Action.m_Count);
+  boost::asio::post(m_Loop, [Self = shared_from_this(), Action] {
+    Self->m_Servers.keep(Action.m_Server, Action.m_Count);
+  });
 }
 
 void PoolHost::carryOut(const AnnounceQueueing &Action) {
@@ -177,81 +173,95 @@
   m_Ports.wakeAt(m_State.m_Id, Action.m_Time);
 }
 
-std::shared_ptr<backend::Channel>
-PoolHost::beginAttemptLocked(const SendAttempt &Attempt) {
-  if (m_CancelledEarly.erase(Attempt.m_Attempt) != 0)
-    return nullptr;
-  if (m_Ports.standing(m_State.m_Id) == LeaseStanding::NotOwner)
-    return nullptr;
-  std::shared_ptr<backend::Channel> Used = m_Servers.acquire(Attempt.m_Server);
-  m_Running[Attempt.m_Attempt] = Used;
-  return Used;
+bool PoolHost::mayBeginLocked(const OpenAttempt &Attempt) {
+  return !Attempt.m_Cancelled &&
+         m_Ports.standing(m_State.m_Id) != LeaseStanding::NotOwner;
 }
 
-void PoolHost::endAttemptLocked(WaitingCall &Call, const SendAttempt &Attempt,
-                                std::shared_ptr<backend::Channel> Used,
-                                backend::ServerAnswer Answer) {
-  if (Used) {
-    m_Running.erase(Attempt.m_Attempt);
-    m_Servers.release(Attempt.m_Server, std::move(Used));
-    reportConnectionsLocked(Attempt.m_Server);
+void PoolHost::begin(AttemptId Attempt) {
+  std::shared_ptr<OpenCall> Call;
+  ServerId Server;
+  bool MayBegin = false;
+  {
+    std::lock_guard Lock(m_Mutex);
+    const OpenAttempt &Known = m_Attempts.at(Attempt);
+    Call = Known.m_Call;
+    Server = Known.m_Server;
+    MayBegin = mayBeginLocked(Known);
   }
-  AttemptEnded Ended{Attempt.m_Attempt, Answer.m_End, Answer.m_Report,
-                     Answer.m_ServerFault};
-  Call.m_Answers[Attempt.m_Attempt] = std::move(Answer);
-  stepLocked(Ended);
+  if (!MayBegin)
+    return endAttempt(Attempt, notSent("cancelled, or the lease has run out"));
+  const std::shared_ptr<SendGate> &Gate = Call->m_Call.m_Gate;
+  if (Gate && !Gate->maySend())
+    return endAttempt(Attempt, notSent("the send was not allowed"));
+  backend::ServerRequest Request = Call->m_Call.m_Request;
+  Request.m_Timeout = Call->m_Call.m_Deadline - m_Clock.now();
+  if (Request.m_Timeout <= Duration::zero()) {
+    backend::ServerAnswer Late = notSent("the deadline has passed");
+    if (Gate)
+      Gate->sendEnded(Late);
+    return endAttempt(Attempt, std::move(Late));
+  }
+  auto Sent = m_Servers.send(
+      Server, Request,
+      [Self = shared_from_this(), Attempt, Gate](backend::ServerAnswer Answer) {
+        if (Gate)
+          Gate->sendEnded(Answer);
+        Self->endAttempt(Attempt, std::move(Answer));
+      });
+  std::lock_guard Lock(m_Mutex);
+  m_Attempts.at(Attempt).m_Exchange = std::move(Sent);
 }
 
-void PoolHost::performAttempt(std::unique_lock<std::mutex> &Lock,
-                              WaitingCall &Call, const SendAttempt &Attempt) {
-  std::shared_ptr<backend::Channel> Used = beginAttemptLocked(Attempt);
-  backend::ServerAnswer Answer;
-  if (Used) {
-    Lock.unlock();
-    Answer = send(Call.m_Call, *Used);
-    Lock.lock();
-  } else {
-    Answer.m_Detail = "cancelled, or the lease has run out";
-    Answer.m_ServerFault = false;
+void PoolHost::cancel(AttemptId Attempt) {
+  std::shared_ptr<http::TimedExchange> Exchange;
+  std::shared_ptr<SendGate> Gate;
+  {
+    std::lock_guard Lock(m_Mutex);
+    auto Known = m_Attempts.find(Attempt);
+    if (Known == m_Attempts.end() || !Known->second.m_Exchange)
+      return;
+    Exchange = Known->second.m_Exchange;
+    Gate = Known->second.m_Call->m_Call.m_Gate;
   }
-  endAttemptLocked(Call, Attempt, std::move(Used), std::move(Answer));
+  Exchange->cancel();
+  backend::ServerAnswer Answer;
+  Answer.m_End = AttemptEnd::Cancelled;
+  Answer.m_Detail = "cancelled";
+  if (Gate)
+    Gate->sendEnded(Answer);
+  endAttempt(Attempt, std::move(Answer));
 }
 
-backend::ServerAnswer PoolHost::send(const CallRequest &Call,
-                                     backend::Channel &Used) const {
-  backend::ServerAnswer Answer;
-  if (Call.m_Gate && !Call.m_Gate->maySend()) {
-    Answer.m_Detail = "the send was not allowed";
-    Answer.m_ServerFault = false;
-    return Answer;
-  }
-  Duration Left = Call.m_Deadline - m_Clock.now();
-  if (Left > Duration::zero()) {
-    backend::ServerRequest Request = Call.m_Request;
-    Request.m_Timeout = Left;
-    Answer = Used.exchange(Request);
-  } else {
-    Answer.m_Detail = "the deadline has passed";
-    Answer.m_ServerFault = false;
-  }
-  if (Call.m_Gate)
-    Call.m_Gate->sendEnded(Answer);
-  return Answer;
+void PoolHost::endAttempt(AttemptId Attempt, backend::ServerAnswer Answer) {
+  std::lock_guard Lock(m_Mutex);
+  auto Known = m_Attempts.find(Attempt);
+  HYSSOPCROSS_INVARIANT(Known != m_Attempts.end(), "an attempt ends once");
+  OpenAttempt Ended = std::move(Known->second);
+  m_Attempts.erase(Known);
+  if (Ended.m_Exchange)
+    reportConnectionsLocked(Ended.m_Server);
+  AttemptEnded Event{Attempt, Answer.m_End, Answer.m_Report,
+                     Answer.m_ServerFault};
+  Ended.m_Call->m_Answers[Attempt] = std::move(Answer);
+  stepLocked(Event);
 }
 
 void PoolHost::probe(const ServerId &Server) {
+  constexpr const char *Id = "probe";
   backend::ServerRequest Request;
-  Request.m_Method = "GET";
-  Request.m_Target = "/load";
-  Request.m_CorrelationId = "probe";
+  Request.m_Message =
+      backend::makeMessage("GET", "/load", m_State.m_Id.m_Service, {}, Id, {});
+  Request.m_CorrelationId = Id;
   Request.m_Timeout = ProbeTimeout;
   Request.m_Idempotent = true;
-  std::shared_ptr<backend::Channel> Used = m_Servers.acquire(Server);
-  backend::ServerAnswer Answer = Used->exchange(Request);
-  m_Servers.release(Server, std::move(Used));
-  std::lock_guard Lock(m_Mutex);
-  reportConnectionsLocked(Server);
-  stepLocked(ProbeEnded{Server, Answer.m_Report});
+  m_Servers.send(
+      Server, Request,
+      [Self = shared_from_this(), Server](const backend::ServerAnswer &Answer) {
+        std::lock_guard Lock(Self->m_Mutex);
+        Self->reportConnectionsLocked(Server);
+        Self->stepLocked(ProbeEnded{Server, Answer.m_Report});
+      });
 }
 
 void PoolHost::reportConnectionsLocked(const ServerId &Server) {
--- a/libs/entry/src/Pools.cpp
+++ b/libs/entry/src/Pools.cpp
@@ -4,19 +4,11 @@
 
 using balancing::PoolId;
 
-namespace {
-
-/// Threads for hedges and probes.
-constexpr unsigned HelperThreads = 16;
-
-} // namespace
-
-Pools::Pools(const Clock &Time, balancing::PoolPolicy Policy, uint64_t Seed,
-             PoolOutside Outside)
-    : m_Clock(Time), m_Policy(Policy), m_NextSeed(Seed),
-      m_Outside(std::move(Outside)),
-      m_Helpers(std::make_unique<Workers>(HelperThreads)),
-      m_Timers(std::make_unique<Loop>(Time)) {}
+Pools::Pools(const Clock &Time, boost::asio::io_context &Loop,
+             balancing::PoolPolicy Policy, uint64_t Seed, PoolOutside Outside)
+    : m_Clock(Time), m_Loop(Loop), m_Policy(Policy), m_NextSeed(Seed),
+      m_Outside(std::move(Outside)), m_Servers(Loop, Time),
+      m_Timers(Loop, Time) {}
 
 std::shared_ptr<PoolHost> Pools::find(const PoolId &Pool) const {
   std::shared_lock Lock(m_Mutex);
@@ -34,8 +26,8 @@
                 const balancing::TookOver &Digest) {
   std::unique_lock Lock(m_Mutex);
   balancing::PoolState State(Pool, Entry, m_Policy, m_NextSeed++);
-  auto Host = std::make_shared<PoolHost>(std::move(State), m_Clock,
-                                         m_Connections, *m_Helpers, *this);
+  auto Host = std::make_shared<PoolHost>(std::move(State), m_Clock, m_Loop,
+                                         m_Servers, *this);
   m_Pools[Pool] = Host;
   Lock.unlock();
   Host->apply(Digest);
@@ -53,21 +45,16 @@
   Host->apply(balancing::Released{});
 }
 
-void Pools::end() {
-  m_Helpers.reset();
-  m_Timers.reset();
-}
-
 LeaseStanding Pools::standing(const PoolId &Pool) {
   return m_Outside.m_Standing(Pool);
 }
 
 void Pools::wakeAt(const PoolId &Pool, TimePoint Time) {
-  m_Timers->schedule(Pool.m_Service + "/" + Pool.m_DataCentre, Time,
-                     [this, Pool] {
-                       if (std::shared_ptr<PoolHost> Host = find(Pool))
-                         Host->apply(balancing::Woke{});
-                     });
+  m_Timers.schedule(Pool.m_Service + "/" + Pool.m_DataCentre, Time,
+                    [this, Pool] {
+                      if (std::shared_ptr<PoolHost> Host = find(Pool))
+                        Host->apply(balancing::Woke{});
+                    });
 }
 
 void Pools::announceQueueing(const PoolId &Pool, bool Queueing) {
--- a/libs/entry/src/Router.cpp
+++ b/libs/entry/src/Router.cpp
@@ -1,6 +1,5 @@
 #include "hyssopcross/entry/Router.h"
 #include "RecordAnswers.h"
-#include "WireCodec.h"
 #include "hyssopcross/base/Log.h"
 #include "hyssopcross/protocol/Headers.h"
 
@@ -43,14 +42,6 @@
   return std::nullopt;
 }
 
-void setHeader(HeaderList &Headers, const char *Name,
-               const std::string &Value) {
-  std::erase_if(Headers, [Name](const auto &Each) {
-    return strcasecmp(Each.first.c_str(), Name) == 0;
-  });
-  Headers.emplace_back(Name, Value);
-}
-
 /// Digest over everything that makes two requests the same.
 std::string requestDigest(const IncomingCall &Call) {
   std::string Text = Call.m_Method + "\n" + Call.m_Target + "\n";
@@ -79,92 +70,129 @@
   return Changed;
 }
 
-CallerAnswer answerNoOwner(const ForwardDecision &Decision) {
-  Duration RetryAfter = std::max(Decision.m_RetryAfter, NoOwnerRetryAfter);
+CallerAnswer answerNoOwner(Duration Wait = Duration::zero()) {
+  Duration RetryAfter = std::max(Wait, NoOwnerRetryAfter);
   return refusedAnswer(503, "no-owner",
                        "No VM in service decides for the service now.",
                        RetryAfter);
 }
 
-} // namespace
+CallerAnswer answerPeerLost() {
+  return originatedAnswer(502, Outcome::Unknown, "peer-answer-lost",
+                          "The VM that had the request did not answer.");
+}
 
-Router::Router(RouterParts Parts) : m_Parts(Parts) {}
+/// Where the deadline headers of a request to a backend server come from.
+HeaderList serverHeaders(const IncomingCall &Call,
+                         std::string_view TraceParent) {
+  auto Micros = std::chrono::duration_cast<std::chrono::microseconds>(
+      Call.m_Deadline.time_since_epoch());
+  HeaderList Headers = Call.m_Headers;
+  Headers.emplace_back(protocol::DeadlineHeader,
+                       std::to_string(Micros.count()));
+  Headers.emplace_back(protocol::DepthHeader, std::to_string(Call.m_Depth));
+  Headers.emplace_back(protocol::AttemptsHeader,
+                       std::to_string(Call.m_Attempts + 1));
+  if (!TraceParent.empty())
+    Headers.emplace_back(protocol::TraceParentHeader, TraceParent);
+  return Headers;
+}
 
-CallerAnswer Router::serve(const IncomingCall &Call) {
-  std::shared_ptr<const RoutingView> View = m_Parts.m_Control.routing();
-  return route(Call, {Call.m_Service, View->m_DataCentre}, View);
+/// The request of an upload under the identity that the server stores it by.
+std::shared_ptr<const http::Request> withIdentity(const http::Request &Sent,
+                                                  const std::string &Identity) {
+  auto Made = std::make_shared<http::Request>(Sent);
+  Made->set(protocol::IdempotencyKeyHeader, Identity);
+  return Made;
 }
 
-CallerAnswer Router::serveForwarded(const IncomingCall &Call,
-                                    const PoolId &Pool) {
-  return route(Call, Pool, m_Parts.m_Control.routing());
+} // namespace
+
+Router::Router(RouterParts Parts)
+    : m_Parts(Parts), m_Peers(Parts.m_Loop, Parts.m_Clock, {}) {}
+
+std::shared_ptr<CallWatch> Router::serve(IncomingCall Call,
+                                         CallerCallback Done) {
+  auto Taken = std::make_shared<Job>();
+  Taken->m_View = m_Parts.m_Control.routing();
+  Taken->m_Pool = {Call.m_Service, Call.m_PoolDataCentre.empty()
+                                       ? Taken->m_View->m_DataCentre
+                                       : Call.m_PoolDataCentre};
+  Taken->m_Call = std::move(Call);
+  Taken->m_Done = std::move(Done);
+  Taken->m_Watch = std::make_shared<CallWatch>();
+  route(Taken);
+  return Taken->m_Watch;
 }
 
-CallerAnswer Router::route(const IncomingCall &Call, const PoolId &Pool,
-                           std::shared_ptr<const RoutingView> View) {
-  auto Entry = View->m_Catalogue.m_Services.find(Call.m_Service);
-  if (Entry == View->m_Catalogue.m_Services.end())
-    return originatedAnswer(404, Outcome::NotRun, "unknown-service",
-                            "The catalogue does not name the service.");
+void Router::route(const JobRef &Call) {
+  const auto &Services = Call->m_View->m_Catalogue.m_Services;
+  auto Entry = Services.find(Call->m_Call.m_Service);
+  if (Entry == Services.end())
+    return Call->m_Done(
+        originatedAnswer(404, Outcome::NotRun, "unknown-service",
+                         "The catalogue does not name the service."));
   if (!m_Parts.m_Control.takesWork())
-    return refusedAnswer(503, "out-of-service",
-                         "This VM can't confirm its catalogue.",
-                         NoOwnerRetryAfter);
-  if (auto Refused = checkCall(Call, Entry->second))
-    return std::move(*Refused);
-  for (unsigned Try = 0; Try < MaxForwardTries; ++Try) {
-    ForwardDecision Decision =
-        addresses::decideForward(*View, Pool, Call.m_Hops);
-    if (Decision.m_Kind == ForwardKind::ServeHere)
-      return serveHere(Call, Entry->second, Decision.m_Pool);
-    if (Decision.m_Kind == ForwardKind::Refuse)
-      return answerNoOwner(Decision);
-    IncomingCall Next = Call;
-    ++Next.m_Hops;
-    auto Answer = forward(Next, Decision.m_Pool, Decision.m_PeerAddress);
-    if (Answer) {
-      auto Better = View->m_Members.find(Decision.m_Vm);
-      if (Better != View->m_Members.end() && Call.m_Hops == 0)
-        Answer.value().m_Headers.emplace_back(protocol::BetterAddressHeader,
-                                              Better->second.m_Address);
-      return std::move(Answer.value());
-    }
-    bool MayRepeat = Answer.error().m_Code == ErrorCode::Unavailable ||
-                     Entry->second.m_Class == ServiceClass::Lookup;
-    if (!MayRepeat)
-      return originatedAnswer(502, Outcome::Unknown, "peer-answer-lost",
-                              "The VM that had the request did not answer.");
-    View = without(*View, Decision.m_Vm);
+    return Call->m_Done(refusedAnswer(503, "out-of-service",
+                                      "This VM can't confirm its catalogue.",
+                                      NoOwnerRetryAfter));
+  if (auto Refused = checkCall(Call->m_Call, Entry->second))
+    return Call->m_Done(std::move(*Refused));
+  Call->m_Entry = Entry->second;
+  ForwardDecision Decision = addresses::decideForward(
+      *Call->m_View, Call->m_Pool, Call->m_Call.m_Hops);
+  switch (Decision.m_Kind) {
+  case ForwardKind::ServeHere:
+    return serveHere(Call, Decision.m_Pool);
+  case ForwardKind::Forward:
+    if (Call->m_Tries++ < MaxForwardTries)
+      return forwardToOwner(Call, Decision);
+    return Call->m_Done(answerNoOwner());
+  case ForwardKind::Refuse:
+    return Call->m_Done(answerNoOwner(Decision.m_RetryAfter));
   }
-  return answerNoOwner({});
 }
 
-CallerAnswer Router::serveHere(const IncomingCall &Call,
-                               const catalogue::ServiceEntry &Entry,
-                               const PoolId &Pool) {
+void Router::forwardToOwner(const JobRef &Call,
+                            const ForwardDecision &Decision) {
+  auto Owner = Call->m_View->m_Members.find(Decision.m_Vm);
+  if (Owner == Call->m_View->m_Members.end())
+    return Call->m_Done(answerNoOwner());
+  std::string Address = Owner->second.m_Address;
+  forward(
+      Call, Decision.m_Pool, Address,
+      [this, Call, Vm = Decision.m_Vm, Address](Result<CallerAnswer> Answer) {
+        if (Answer) {
+          if (Call->m_Call.m_Hops == 0)
+            Answer.value().m_Headers.emplace_back(protocol::BetterAddressHeader,
+                                                  Address);
+          return Call->m_Done(std::move(Answer.value()));
+        }
+        bool MayRepeat = Answer.error().m_Code == ErrorCode::Unavailable ||
+                         Call->m_Entry.m_Class == ServiceClass::Lookup;
+        if (!MayRepeat)
+          return Call->m_Done(answerPeerLost());
+        Call->m_View = without(*Call->m_View, Vm);
+        route(Call);
+      });
+}
+
+void Router::serveHere(const JobRef &Call, const PoolId &Pool) {
   std::shared_ptr<PoolHost> Host = m_Parts.m_Pools.find(Pool);
   if (!Host || m_Parts.m_Control.standing(Pool) == LeaseStanding::NotOwner)
-    return answerNoOwner({});
-  return runHere(Call, Entry, *Host);
+    return Call->m_Done(answerNoOwner());
+  runHere(Call, Host);
 }
 
 CallRequest Router::makeRequest(const IncomingCall &Call,
-                                const catalogue::ServiceEntry &Entry) const {
+                                const catalogue::ServiceEntry &Entry,
+                                std::string_view TraceParent) const {
   CallRequest Request;
-  Request.m_Request.m_Method = Call.m_Method;
-  Request.m_Request.m_Target = Call.m_Target;
-  Request.m_Request.m_Body = Call.m_Body;
-  Request.m_Request.m_Headers = Call.m_Headers;
+  Request.m_Request.m_Message = backend::makeMessage(
+      Call.m_Method, Call.m_Target, Call.m_Service,
+      serverHeaders(Call, TraceParent), Call.m_CorrelationId, Call.m_Body);
   Request.m_Request.m_CorrelationId = Call.m_CorrelationId;
   Request.m_Request.m_Idempotent = Entry.m_Class == ServiceClass::Lookup;
-  auto Micros = std::chrono::duration_cast<std::chrono::microseconds>(
-      Call.m_Deadline.time_since_epoch());
-  HeaderList &Headers = Request.m_Request.m_Headers;
-  Headers.emplace_back(protocol::DeadlineHeader,
-                       std::to_string(Micros.count()));
-  Headers.emplace_back(protocol::DepthHeader, std::to_string(Call.m_Depth));
-  Headers.emplace_back(protocol::AttemptsHeader,
-                       std::to_string(Call.m_Attempts + 1));
   Request.m_Deadline =
       m_Parts.m_Clock.now() + (Call.m_Deadline - m_Parts.m_Clock.wallNow());
   Request.m_ShareKey = Call.m_ShareKey;
@@ -176,82 +204,106 @@
   return Request;
 }
 
-CallerAnswer Router::runHere(const IncomingCall &Call,
-                             const catalogue::ServiceEntry &Entry,
-                             PoolHost &Host) {
-  trace::HopSpan Span = m_Parts.m_Tracer.start("pool", Call.m_TraceParent);
-  Span.tag("request_id", Call.m_CorrelationId);
-  Span.tag("service", Call.m_Service);
-  CallRequest Request = makeRequest(Call, Entry);
-  Request.m_Request.m_Headers.emplace_back(
-      protocol::TraceParentHeader, trace::formatTraceParent(Span.context()));
-  CallerAnswer Answer;
-  switch (Entry.m_Class) {
+void Router::runHere(const JobRef &Call,
+                     const std::shared_ptr<PoolHost> &Host) {
+  auto Span = std::make_shared<trace::HopSpan>(
+      m_Parts.m_Tracer.start("pool", Call->m_Call.m_TraceParent));
+  Span->tag("request_id", Call->m_Call.m_CorrelationId);
+  Span->tag("service", Call->m_Call.m_Service);
+  Call->m_Done = [Span, Done = std::move(Call->m_Done)](CallerAnswer Answer) {
+    Span->tag("outcome", protocol::outcomeName(Answer.m_Outcome));
+    Done(std::move(Answer));
+  };
+  CallRequest Request = makeRequest(Call->m_Call, Call->m_Entry,
+                                    trace::formatTraceParent(Span->context()));
+  switch (Call->m_Entry.m_Class) {
   case ServiceClass::Lookup:
-    Answer = answerResult(Call, Host.run(Request));
-    break;
+    return runLookup(Call, Host, std::move(Request));
   case ServiceClass::Money:
-    Answer = runMoney(Call, Host, Request);
-    break;
+    return runMoney(Call, Host, std::move(Request));
   case ServiceClass::Upload:
-    Answer = runUpload(Call, Host, Request);
-    break;
+    return runUpload(Call, Host, std::move(Request));
   }
-  Span.tag("outcome", protocol::outcomeName(Answer.m_Outcome));
-  return Answer;
 }
 
-CallerAnswer Router::runMoney(const IncomingCall &Call, PoolHost &Host,
-                              const CallRequest &Request) {
+void Router::runLookup(const JobRef &Call,
+                       const std::shared_ptr<PoolHost> &Host,
+                       CallRequest Request) {
+  balancing::CallId Id =
+      Host->run(std::move(Request), [this, Call](CallResult Result) {
+        Call->m_Watch->setEnd(nullptr);
+        answerResult(Call, std::move(Result));
+      });
+  Call->m_Watch->setEnd([Host, Id] { Host->abandon(Id); });
+}
+
+void Router::runMoney(const JobRef &Call, const std::shared_ptr<PoolHost> &Host,
+                      CallRequest Request) {
   // A refusal without a claim costs the store nothing. A repeat has to look at
   // the claim of the request before it.
-  if (Call.m_Attempts == 0)
+  const IncomingCall &Incoming = Call->m_Call;
+  if (Incoming.m_Attempts == 0)
     if (auto Refused =
-            refuseBeforeClaim(Host.figures(), Request, m_Parts.m_Clock.now()))
-      return answerRefusal(*Refused);
+            refuseBeforeClaim(Host->figures(), Request, m_Parts.m_Clock.now()))
+      return Call->m_Done(answerRefusal(*Refused));
   claims::MoneyArrived Arrival;
-  Arrival.m_Service = Call.m_Service;
-  Arrival.m_Key = Call.m_IdempotencyKey;
-  Arrival.m_Digest = requestDigest(Call);
-  Arrival.m_Deadline = Call.m_Deadline;
-  Arrival.m_Repeat = Call.m_Attempts > 0;
-  return answerMoney(
-      m_Parts.m_Claims.run(Arrival, [&Host, &Request](SendGate &Gate) {
+  Arrival.m_Service = Incoming.m_Service;
+  Arrival.m_Key = Incoming.m_IdempotencyKey;
+  Arrival.m_Digest = requestDigest(Incoming);
+  Arrival.m_Deadline = Incoming.m_Deadline;
+  Arrival.m_Repeat = Incoming.m_Attempts > 0;
+  m_Parts.m_Claims.run(
+      Arrival,
+      [Host, Request = std::move(Request)](std::shared_ptr<SendGate> Gate,
+                                           ResultCallback Ended) {
         CallRequest Gated = Request;
-        Gated.m_Gate = &Gate;
-        return Host.run(Gated);
-      }));
+        Gated.m_Gate = std::move(Gate);
+        Host->run(std::move(Gated), std::move(Ended));
+      },
+      [Call](const claims::Answer &Answer) {
+        Call->m_Done(answerMoney(Answer));
+      });
 }
 
-CallerAnswer Router::runUpload(const IncomingCall &Call, PoolHost &Host,
-                               const CallRequest &Request) {
+void Router::runUpload(const JobRef &Call,
+                       const std::shared_ptr<PoolHost> &Host,
+                       CallRequest Request) {
+  const IncomingCall &Incoming = Call->m_Call;
   uploads::UploadHead Head;
-  Head.m_Service = Call.m_Service;
-  Head.m_Key = Call.m_IdempotencyKey;
-  Head.m_Method = Call.m_Method;
-  Head.m_Path = Call.m_Target;
-  Head.m_Digest = protocol::contentDigest(Call.m_Body);
-  Head.m_Length = Call.m_Body.size();
-  for (const auto &[Name, Value] : Call.m_Headers)
-    if (strcasecmp(Name.c_str(), "Content-Type") == 0)
-      Head.m_ContentType = Value;
-  CallRequest Sent = Request;
+  Head.m_Service = Incoming.m_Service;
+  Head.m_Key = Incoming.m_IdempotencyKey;
+  Head.m_Method = Incoming.m_Method;
+  Head.m_Path = Incoming.m_Target;
+  Head.m_Digest = protocol::contentDigest(Incoming.m_Body);
+  Head.m_Length = Incoming.m_Body.size();
+  Head.m_ContentType =
+      http::headerOf(*Request.m_Request.m_Message, "Content-Type");
   // The pool gives the call back while there is still time to hold it.
-  Sent.m_Deadline -= UploadHoldTime;
-  return answerUpload(m_Parts.m_Uploads.run(
-      Head, Call.m_Body, Call.m_Deadline, [&](const std::string &Identity) {
-        setHeader(Sent.m_Request.m_Headers, protocol::IdempotencyKeyHeader,
-                  Identity);
-        return Host.run(Sent);
-      }));
+  Request.m_Deadline -= UploadHoldTime;
+  std::shared_ptr<const std::string> Body(Call, &Incoming.m_Body);
+  m_Parts.m_Uploads.run(
+      Head, Body, Incoming.m_Deadline,
+      [Host, Request = std::move(Request)](const std::string &Identity,
+                                           ResultCallback Ended) {
+        CallRequest Sent = Request;
+        Sent.m_Request.m_Message =
+            withIdentity(*Request.m_Request.m_Message, Identity);
+        Host->run(std::move(Sent), std::move(Ended));
+      },
+      [Call](const uploads::Answer &Answer) {
+        Call->m_Done(answerUpload(Answer));
+      });
 }
 
-CallerAnswer Router::receipt(const std::string &Service,
-                             const std::string &Key) {
-  return answerUpload(m_Parts.m_Uploads.receipt(Service, Key));
+void Router::receipt(const std::string &Service, const std::string &Key,
+                     CallerCallback Done) {
+  m_Parts.m_Uploads.receipt(
+      Service, Key, [Done = std::move(Done)](const uploads::Answer &Answer) {
+        Done(answerUpload(Answer));
+      });
 }
 
-CallResult Router::deliver(const uploads::DeliverUpload &Held) {
+void Router::deliver(const uploads::DeliverUpload &Held, ResultCallback Done) {
   std::shared_ptr<const RoutingView> View = m_Parts.m_Control.routing();
   auto Entry = View->m_Catalogue.m_Services.find(Held.m_Head.m_Service);
   std::shared_ptr<PoolHost> Host;
@@ -259,7 +311,8 @@
     if (Id.m_Service == Held.m_Head.m_Service)
       Host = Each;
   if (!Host || Entry == View->m_Catalogue.m_Services.end())
-    return CallRefused{balancing::RefusalReason::NoServer, NoOwnerRetryAfter};
+    return Done(
+        CallRefused{balancing::RefusalReason::NoServer, NoOwnerRetryAfter});
   IncomingCall Call;
   Call.m_Service = Held.m_Head.m_Service;
   Call.m_Method = Held.m_Head.m_Method;
@@ -272,64 +325,77 @@
   Call.m_Headers = {{protocol::IdempotencyKeyHeader, Held.m_Identity},
                     {protocol::ContentDigestHeader, Held.m_Head.m_Digest},
                     {"Content-Type", Held.m_Head.m_ContentType}};
-  return Host->run(makeRequest(Call, Entry->second));
+  Host->run(makeRequest(Call, Entry->second, {}), std::move(Done));
 }
 
-CallerAnswer Router::answerResult(const IncomingCall &Call, CallResult Result) {
-  if (auto *Answered = std::get_if<CallAnswered>(&Result))
-    return answerAttempt(std::move(Answered->m_Answer),
-                         m_Parts.m_Clock.wallNow() >= Call.m_Deadline);
+void Router::answerResult(const JobRef &Call, CallResult Result) {
+  if (auto *Answered = std::get_if<CallAnswered>(&Result)) {
+    bool IsLate = m_Parts.m_Clock.wallNow() >= Call->m_Call.m_Deadline;
+    return Call->m_Done(answerAttempt(std::move(Answered->m_Answer), IsLate));
+  }
   if (const auto *Refused = std::get_if<CallRefused>(&Result))
-    return answerRefusal(*Refused);
-  return handOver(Call, std::get<CallHandedOver>(Result).m_Pool);
+    return Call->m_Done(answerRefusal(*Refused));
+  handOver(Call, std::get<CallHandedOver>(Result).m_Pool);
 }
 
-CallerAnswer Router::handOver(const IncomingCall &Call, const PoolId &Pool) {
+void Router::handOver(const JobRef &Call, const PoolId &Pool) {
   std::shared_ptr<const RoutingView> View = m_Parts.m_Control.routing();
   auto Owner = View->m_Owners.m_Owners.find(Pool);
   if (Owner == View->m_Owners.m_Owners.end() ||
       Owner->second.m_Owner == View->m_Self)
-    return answerNoOwner({});
+    return Call->m_Done(answerNoOwner());
   auto Member = View->m_Members.find(Owner->second.m_Owner);
   if (Member == View->m_Members.end())
-    return answerNoOwner({});
-  IncomingCall Next = Call;
-  ++Next.m_Hops;
-  Next.m_HandedOver = true;
-  auto Answer = forward(Next, Pool, Member->second.m_PeerAddress);
-  if (Answer)
-    return std::move(Answer.value());
-  if (Answer.error().m_Code == ErrorCode::Unavailable)
-    return answerNoOwner({});
-  return originatedAnswer(502, Outcome::Unknown, "peer-answer-lost",
-                          "The VM that took the request did not answer.");
+    return Call->m_Done(answerNoOwner());
+  Call->m_Call.m_HandedOver = true;
+  forward(Call, Pool, Member->second.m_Address,
+          [Call](Result<CallerAnswer> Answer) {
+            if (Answer)
+              return Call->m_Done(std::move(Answer.value()));
+            bool NotRun = Answer.error().m_Code == ErrorCode::Unavailable;
+            Call->m_Done(NotRun ? answerNoOwner() : answerPeerLost());
+          });
 }
 
-Result<CallerAnswer> Router::forward(const IncomingCall &Call,
-                                     const PoolId &Pool,
-                                     const std::string &PeerAddress) {
-  Duration Left = Call.m_Deadline - m_Parts.m_Clock.wallNow();
+void Router::forward(const JobRef &Call, const PoolId &Pool,
+                     const std::string &Address, ForwardCallback Done) {
+  const IncomingCall &Incoming = Call->m_Call;
+  Duration Left = Incoming.m_Deadline - m_Parts.m_Clock.wallNow();
   if (Left <= Duration::zero())
-    return refusedAnswer(504, "deadline-passed",
-                         "The deadline passed before the request was sent.",
-                         NoOwnerRetryAfter);
-  trace::HopSpan Span = m_Parts.m_Tracer.start("forward", Call.m_TraceParent);
-  Span.tag("request_id", Call.m_CorrelationId);
-  Span.tag("service", Call.m_Service);
-  peer::wire::ForwardedCall Wire = toWire(Call, Pool);
-  Wire.traceParent = trace::formatTraceParent(Span.context());
-  peer::wire::ForwardedAnswer Answer;
-  auto Called = m_Parts.m_Peers.call(
-      PeerAddress, Left + ForwardSlack,
-      [&](peer::wire::PeerClient &Peer) { Peer.forward(Answer, Wire); });
-  if (!Called) {
+    return Done(refusedAnswer(
+        504, "deadline-passed",
+        "The deadline passed before the request was sent.", NoOwnerRetryAfter));
+  auto Where = parseAddress(Address);
+  if (!Where)
+    return Done(fail(ErrorCode::Unavailable, Where.error().m_Message));
+  auto Span = std::make_shared<trace::HopSpan>(
+      m_Parts.m_Tracer.start("forward", Incoming.m_TraceParent));
+  Span->tag("request_id", Incoming.m_CorrelationId);
+  Span->tag("service", Incoming.m_Service);
+  IncomingCall Next = Incoming;
+  ++Next.m_Hops;
+  Next.m_TraceParent = trace::formatTraceParent(Span->context());
+  http::TimedRequest Sent;
+  Sent.m_Request = forwardedRequest(Next, Pool);
+  Sent.m_Timeout = Left + ForwardSlack;
+  auto Ended = [Call, Span, Address,
+                Done = std::move(Done)](http::ExchangeResult Result) {
+    Call->m_Watch->setEnd(nullptr);
+    if (Result.m_End == http::ExchangeEnd::Answered)
+      return Done(readForwardedAnswer(std::move(Result.m_Answer)));
     logEvent(LogLevel::Warning, "forward_failed",
-             {{"request_id", Call.m_CorrelationId},
-              {"peer", PeerAddress},
-              {"error", Called.error().m_Message}});
-    return fail(Called.error().m_Code, Called.error().m_Message);
-  }
-  return fromWire(Answer);
+             {{"request_id", Call->m_Call.m_CorrelationId},
+              {"peer", Address},
+              {"error", http::exchangeEndName(Result.m_End)}});
+    bool NotSent = Result.m_End == http::ExchangeEnd::NotSent;
+    Done(fail(NotSent ? ErrorCode::Unavailable : ErrorCode::Unknown,
+              http::exchangeEndName(Result.m_End)));
+  };
+  auto Running =
+      http::TimedExchange::start(m_Parts.m_Loop, m_Peers, Where.value(),
+                                 std::move(Sent), std::move(Ended));
+  if (Call->m_Entry.m_Class == ServiceClass::Lookup)
+    Call->m_Watch->setEnd([Running] { Running->cancel(); });
 }
 
 } // namespace hyssopcross::entry
--- a/libs/entry/src/UploadsHost.cpp
+++ b/libs/entry/src/UploadsHost.cpp
@@ -1,6 +1,7 @@
 #include "hyssopcross/entry/UploadsHost.h"
+#include "hyssopcross/base/Invariant.h"
+#include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
-#include <strings.h>
 
 namespace hyssopcross::entry {
 
@@ -8,9 +9,6 @@
 
 namespace {
 
-/// Threads that deliver held uploads.
-constexpr unsigned DeliveryThreads = 2;
-
 /// Reads what the server confirms to have stored; a body that is no receipt
 /// confirms nothing.
 void readReceipt(const std::string &Body, uploads::ServerAnswer &Answer) {
@@ -30,9 +28,7 @@
   uploads::ServerAnswer Made;
   Made.m_Status = static_cast<uint16_t>(Answer.m_Status);
   Made.m_Body = Answer.m_Body;
-  for (const auto &[Name, Value] : Answer.m_Headers)
-    if (strcasecmp(Name.c_str(), "Content-Type") == 0)
-      Made.m_ContentType = Value;
+  Made.m_ContentType = backend::findHeader(Answer, "Content-Type");
   readReceipt(Answer.m_Body, Made);
   return Made;
 }
@@ -65,54 +61,28 @@
 } // namespace
 
 UploadsHost::UploadsHost(std::string Process, uploads::UploadPolicy Policy,
-                         uint64_t Seed, const Clock &Time, StoreAccess &Store,
-                         Loop &Timers, Deliver Delivery)
-    : m_Clock(Time), m_Store(Store), m_Timers(Timers),
-      m_Deliver(std::move(Delivery)), m_State(std::move(Process), Policy, Seed),
-      m_Deliveries(std::make_unique<Workers>(DeliveryThreads)) {}
-
-uploads::Answer
-UploadsHost::run(const uploads::UploadHead &Head, std::string_view Body,
-                 WallTime Deadline,
-                 const std::function<CallResult(const std::string &)> &Send) {
-  WaitingCall Waiting;
-  Waiting.m_Body = Body;
-  std::unique_lock Lock(m_Mutex);
+                         uint64_t Seed, const Clock &Time,
+                         boost::asio::io_context &Loop, StoreAccess &Store,
+                         Timers &Wakes, Deliver Delivery)
+    : m_Clock(Time), m_Loop(Loop), m_Store(Store), m_Timers(Wakes),
+      m_Deliver(std::move(Delivery)),
+      m_State(std::move(Process), Policy, Seed) {}
+
+void UploadsHost::run(const uploads::UploadHead &Head,
+                      std::shared_ptr<const std::string> Body,
+                      WallTime Deadline, SendCall Send, AnswerCallback Done) {
+  std::lock_guard Lock(m_Mutex);
   uploads::CallId Call = ++m_LastCall;
-  m_Waiting[Call] = &Waiting;
+  m_Calls[Call] = {std::move(Body), std::move(Send), std::move(Done)};
   stepLocked(uploads::UploadArrived{Call, Head, Deadline});
-  while (!Waiting.m_Answer) {
-    Waiting.m_Changed.wait(
-        Lock, [&Waiting] { return Waiting.m_Answer || Waiting.m_Send; });
-    if (!Waiting.m_Send)
-      continue;
-    std::string Identity = std::move(*Waiting.m_Send);
-    Waiting.m_Send.reset();
-    Lock.unlock();
-    CallResult Result = Send(Identity);
-    Lock.lock();
-    uploads::SendEnded Ended;
-    Ended.m_Call = Call;
-    fill(Result, Ended);
-    if (const auto *Refused = std::get_if<CallRefused>(&Result))
-      Ended.m_RetryAfter = Refused->m_RetryAfter;
-    stepLocked(Ended);
-  }
-  m_Waiting.erase(Call);
-  return std::move(*Waiting.m_Answer);
 }
 
-uploads::Answer UploadsHost::receipt(const std::string &Service,
-                                     const std::string &Key) {
-  WaitingCall Waiting;
-  std::unique_lock Lock(m_Mutex);
+void UploadsHost::receipt(const std::string &Service, const std::string &Key,
+                          AnswerCallback Done) {
+  std::lock_guard Lock(m_Mutex);
   uploads::CallId Call = ++m_LastCall;
-  m_Waiting[Call] = &Waiting;
+  m_Calls[Call].m_Done = std::move(Done);
   stepLocked(uploads::ReceiptAsked{Call, Service, Key});
-  Waiting.m_Changed.wait(Lock,
-                         [&Waiting] { return Waiting.m_Answer.has_value(); });
-  m_Waiting.erase(Call);
-  return std::move(*Waiting.m_Answer);
 }
 
 void UploadsHost::setDeliverer(const std::string &Service, bool Delivers) {
@@ -137,35 +107,44 @@
 }
 
 void UploadsHost::carryOut(const uploads::SendUpload &Action) {
-  WaitingCall &Call = *m_Waiting.at(Action.m_Call);
-  Call.m_Send = Action.m_Identity;
-  Call.m_Changed.notify_one();
+  const SendCall &Send = m_Calls.at(Action.m_Call).m_Send;
+  boost::asio::post(m_Loop, [this, Action, Send] {
+    Send(Action.m_Identity,
+         [this, Call = Action.m_Call](const CallResult &Result) {
+           uploads::SendEnded Ended;
+           Ended.m_Call = Call;
+           fill(Result, Ended);
+           if (const auto *Refused = std::get_if<CallRefused>(&Result))
+             Ended.m_RetryAfter = Refused->m_RetryAfter;
+           apply(Ended);
+         });
+  });
 }
 
 void UploadsHost::carryOut(const uploads::HoldBody &Action) {
-  std::string Body(m_Waiting.at(Action.m_Call)->m_Body);
   request(records::PutObject{Action.m_Request, Action.m_ObjectKey,
-                             std::move(Body)});
+                             *m_Calls.at(Action.m_Call).m_Body});
 }
 
 void UploadsHost::carryOut(const uploads::DeliverUpload &Action) {
-  bool Posted = m_Deliveries->post([this, Action] {
-    uploads::DeliveryEnded Ended;
-    Ended.m_Delivery = Action.m_Delivery;
-    fill(m_Deliver(Action), Ended);
-    apply(Ended);
-  });
-  if (Posted)
-    return;
-  m_Timers.post([this, Delivery = Action.m_Delivery] {
-    apply(uploads::DeliveryEnded{Delivery, uploads::SendEnd::NotRun, {}});
+  boost::asio::post(m_Loop, [this, Action] {
+    m_Deliver(Action,
+              [this, Delivery = Action.m_Delivery](const CallResult &Result) {
+                uploads::DeliveryEnded Ended;
+                Ended.m_Delivery = Delivery;
+                fill(Result, Ended);
+                apply(Ended);
+              });
   });
 }
 
 void UploadsHost::carryOut(const uploads::Answer &Action) {
-  WaitingCall &Call = *m_Waiting.at(Action.m_Call);
-  Call.m_Answer = Action;
-  Call.m_Changed.notify_one();
+  auto Known = m_Calls.find(Action.m_Call);
+  HYSSOPCROSS_INVARIANT(Known != m_Calls.end(), "a call is answered once");
+  boost::asio::post(m_Loop, [Done = std::move(Known->second.m_Done), Action] {
+    Done(Action);
+  });
+  m_Calls.erase(Known);
 }
 
 void UploadsHost::carryOut(const uploads::WakeAt &Action) {
--- a/libs/entry/src/WireCodec.h
+++ b/libs/entry/src/WireCodec.h
@@ -1,7 +1,8 @@
 #ifndef HYSSOPCROSS_ENTRY_WIRECODEC_H
 #define HYSSOPCROSS_ENTRY_WIRECODEC_H
 
-#include "hyssopcross/entry/Call.h"
+#include "hyssopcross/balancing/Events.h"
+#include "hyssopcross/base/Error.h"
 #include "hyssopcross/entry/HeartbeatBundle.h"
 #include "hyssopcross/ownership/Messages.h"
 #include "peer_types.h"
@@ -33,16 +34,6 @@
 Result<ownership::Message>
 fromWire(const peer::wire::OwnershipMessage &Message);
 
-/// A call on its way to the owner of Pool.
-peer::wire::ForwardedCall toWire(const IncomingCall &Call,
-                                 const balancing::PoolId &Pool);
-
-/// The call's body views Message, which must outlive it.
-IncomingCall fromWire(const peer::wire::ForwardedCall &Message);
-
-peer::wire::ForwardedAnswer toWire(CallerAnswer Answer);
-Result<CallerAnswer> fromWire(const peer::wire::ForwardedAnswer &Message);
-
 } // namespace hyssopcross::entry
 
 #endif
--- a/libs/entry/tests/CallTest.cpp
+++ b/libs/entry/tests/CallTest.cpp
@@ -14,14 +14,16 @@
 const WallTime Now{std::chrono::seconds(1000)};
 constexpr Duration DefaultTimeout = std::chrono::seconds(2);
 
-web::HttpRequest
-request(std::string_view Target,
-        std::vector<std::pair<std::string_view, std::string_view>> Headers) {
-  web::HttpRequest Request;
-  Request.m_Method = "POST";
-  Request.m_Target = Target;
-  Request.m_Headers = std::move(Headers);
-  return Request;
+/// What parseCall makes of a request with these headers.
+Result<IncomingCall> parsed(
+    std::string_view Target,
+    const std::vector<std::pair<std::string_view, std::string_view>> &Headers) {
+  http::Request Request;
+  Request.method_string("POST");
+  Request.target(http::toBoost(Target));
+  for (const auto &[Name, Value] : Headers)
+    Request.insert(http::toBoost(Name), http::toBoost(Value));
+  return parseCall(Request, Now, DefaultTimeout);
 }
 
 bool hasHeader(const CallerAnswer &Answer, const char *Name) {
@@ -46,7 +48,7 @@
       {"/call/boletas?x=1", "boletas", "/?x=1"}};
   for (const Row &Case : Rows) {
     CAPTURE(Case.m_Path);
-    auto Call = parseCall(request(Case.m_Path, {}), Now, DefaultTimeout);
+    auto Call = parsed(Case.m_Path, {});
     REQUIRE(Call.has_value());
     CHECK(Call.value().m_Service == Case.m_Service);
     CHECK(Call.value().m_Target == Case.m_Target);
@@ -68,8 +70,7 @@
   };
   for (const Row &Case : Rows) {
     CAPTURE(Case.m_Value);
-    auto Call = parseCall(request("/call/a/b", {{Case.m_Name, Case.m_Value}}),
-                          Now, DefaultTimeout);
+    auto Call = parsed("/call/a/b", {{Case.m_Name, Case.m_Value}});
     REQUIRE(Call.has_value());
     CHECK(Call.value().m_Deadline - Now == Case.m_Left);
   }
@@ -88,12 +89,13 @@
                       {protocol::DepthHeader, "9"},
                       {protocol::DepthHeader, "0"},
                       {protocol::AttemptsHeader, "-1"},
+                      {protocol::HopsHeader, "9"},
+                      {protocol::HandedOverHeader, "yes"},
                       {protocol::CorrelationHeader, "two words"},
                       {protocol::IdempotencyKeyHeader, Long}};
   for (const Row &Case : Rows) {
     CAPTURE(Case.m_Value);
-    auto Call = parseCall(request("/call/a/b", {{Case.m_Name, Case.m_Value}}),
-                          Now, DefaultTimeout);
+    auto Call = parsed("/call/a/b", {{Case.m_Name, Case.m_Value}});
     REQUIRE(Call.has_error());
     CHECK(Call.error().m_Code == ErrorCode::InvalidInput);
     CHECK(Call.error().m_Message.find(Case.m_Name) != std::string::npos);
@@ -101,10 +103,9 @@
 }
 
 TEST_CASE("headers of one hop are not passed on") {
-  auto Call = parseCall(request("/call/a/b", {{"Connection", "close"},
-                                              {"content-length", "4"},
-                                              {"X-Kept", "yes"}}),
-                        Now, DefaultTimeout);
+  auto Call = parsed(
+      "/call/a/b",
+      {{"Connection", "close"}, {"content-length", "4"}, {"X-Kept", "yes"}});
   REQUIRE(Call.has_value());
   REQUIRE(Call.value().m_Headers.size() == 1);
   CHECK(Call.value().m_Headers[0].first == "X-Kept");
@@ -159,3 +160,62 @@
     CHECK(hasHeader(Told, protocol::RetryAfterMsHeader));
   }
 }
+
+TEST_CASE("a call that is sent on arrives as it was") {
+  struct Row {
+    const char *m_Target;
+    std::string m_Body;
+    bool m_HandedOver;
+  };
+  const Row Rows[] = {{"/history?watch=7", "", false},
+                      {"/", std::string("\0\xff\r\n", 4), true}};
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.m_Target);
+    IncomingCall Sent;
+    Sent.m_Service = "boletas";
+    Sent.m_Method = Case.m_Body.empty() ? "GET" : "POST";
+    Sent.m_Target = Case.m_Target;
+    Sent.m_Body = Case.m_Body;
+    Sent.m_Headers = {{"X-Kept", "yes"},
+                      {protocol::IdempotencyKeyHeader, "k1"},
+                      {protocol::ShareHeader, "taller-7"}};
+    Sent.m_CorrelationId = "c1";
+    Sent.m_TraceParent = "00-1-2-01";
+    Sent.m_Deadline = Now + std::chrono::microseconds(123456);
+    Sent.m_Attempts = 2;
+    Sent.m_Depth = 3;
+    Sent.m_Hops = 1;
+    Sent.m_HandedOver = Case.m_HandedOver;
+    http::Request Arrived = *forwardedRequest(Sent, {"boletas", "aqp-b"});
+    auto Read = parseCall(Arrived, Now, DefaultTimeout);
+    REQUIRE(Read.has_value());
+    const IncomingCall &Got = Read.value();
+    CHECK(Got.m_Service == Sent.m_Service);
+    CHECK(Got.m_Method == Sent.m_Method);
+    CHECK(Got.m_Target == Sent.m_Target);
+    CHECK(Got.m_Body == Sent.m_Body);
+    CHECK(Got.m_Headers == Sent.m_Headers);
+    CHECK(Got.m_CorrelationId == Sent.m_CorrelationId);
+    CHECK(Got.m_IdempotencyKey == "k1");
+    CHECK(Got.m_ShareKey == "taller-7");
+    CHECK(Got.m_TraceParent == Sent.m_TraceParent);
+    CHECK(Got.m_Deadline == Sent.m_Deadline);
+    CHECK(Got.m_Attempts == Sent.m_Attempts);
+    CHECK(Got.m_Depth == Sent.m_Depth);
+    CHECK(Got.m_Hops == Sent.m_Hops);
+    CHECK(Got.m_HandedOver == Sent.m_HandedOver);
+    CHECK(Got.m_PoolDataCentre == "aqp-b");
+  }
+}
+
+TEST_CASE("an answer that another VM gave is read as it was given") {
+  CallerAnswer Given = refusedAnswer(503, "overloaded", "No room.",
+                                     std::chrono::milliseconds(1200));
+  auto Read = readForwardedAnswer(toResponse(Given, "c1"));
+  REQUIRE(Read.has_value());
+  CHECK(Read.value().m_Outcome == Given.m_Outcome);
+  CHECK(Read.value().m_Status == Given.m_Status);
+  CHECK(Read.value().m_Headers == Given.m_Headers);
+  CHECK(Read.value().m_Body == Given.m_Body);
+  CHECK(readForwardedAnswer(http::makeResponse(200)).has_error());
+}
--- a/libs/httpclient/include/hyssopcross/httpclient/Client.h
+++ b/libs/httpclient/include/hyssopcross/httpclient/Client.h
@@ -20,6 +20,7 @@
 /// One HTTP request.
 struct Request {
   std::string m_Method = "GET";
+  /// http://IPv4:PORT/PATH.
   std::string m_Url;
   std::vector<Header> m_Headers;
   /// Not copied; outlives the call. A GET sends none.
@@ -42,9 +43,10 @@
   std::string_view header(std::string_view Name) const;
 };
 
-/// Sends HTTP requests over kept connections. Any number of threads may send
-/// at once; each uses a handle of its own from a pool. Handles beyond
-/// IdleHandles are closed when they come back.
+/// Sends HTTP requests over kept connections and waits for the answers, for
+/// code off the data path. Any number of threads may send at once; each uses an
+/// event loop of its own from a pool. Loops beyond IdleHandles are closed when
+/// they come back.
 class Client {
 public:
   explicit Client(size_t IdleHandles = 16, size_t MaxAnswerBytes = 64U << 20U);
--- a/libs/httpclient/tests/ClientTest.cpp
+++ b/libs/httpclient/tests/ClientTest.cpp
@@ -109,7 +109,7 @@
   REQUIRE(Nothing.has_error());
   CHECK(Nothing.error().m_Code == ErrorCode::Unavailable);
   for (const char *Body : {"lose", "cut", "large", "hang"}) {
-    CAPTURE(Body);
+    CAPTURE(std::string(Body));
     Request Post = post(*Server, Body);
     Post.m_Timeout = std::chrono::milliseconds(200);
     auto Answer = Client.send(Post);
--- a/libs/peer/peer.thrift
+++ b/libs/peer/peer.thrift
@@ -7,42 +7,6 @@
   2: string dataCentre,
 }
 
-struct Header {
-  1: string name,
-  2: string value,
-}
-
-// A call sent on to the owner of its pool.
-struct ForwardedCall {
-  1: Pool pool,
-  2: string method,
-  3: string target,
-  4: binary body,
-  5: list<Header> headers,
-  6: string correlationId,
-  // Microseconds since 1970.
-  7: i64 deadlineMicros,
-  8: string shareKey,
-  9: i32 attempts,
-  10: i32 depth,
-  // Forwards so far, this one included.
-  11: i32 hops,
-  // Set if the sender's pool gave the call up to this one.
-  12: bool handedOver,
-  13: string idempotencyKey,
-  14: string contentDigest,
-  15: string traceParent,
-}
-
-struct ForwardedAnswer {
-  1: string outcome,
-  2: i32 status,
-  3: list<Header> headers,
-  4: binary body,
-  // Stable code of an answer that the system itself gives.
-  5: string code,
-}
-
 // An entry VM as it describes itself.
 struct Vm {
   1: string name,
@@ -181,7 +145,6 @@
 }
 
 service Peer {
-  ForwardedAnswer forward(1: ForwardedCall call),
   oneway void heartbeat(1: Heartbeat message),
   oneway void requestVmList(1: VmListRequest message),
   oneway void answerVmList(1: VmListAnswer message),
--- a/libs/protocol/include/hyssopcross/protocol/Headers.h
+++ b/libs/protocol/include/hyssopcross/protocol/Headers.h
@@ -25,6 +25,12 @@
 /// Attempts made so far for a call, over all hops.
 inline constexpr const char *AttemptsHeader = "Hyssopcross-Attempts";
 
+/// On a call that one entry VM sends on to another: forwards so far, the data
+/// centre of the pool that is to serve it, and 1 if another pool gave it up.
+inline constexpr const char *HopsHeader = "Hyssopcross-Hops";
+inline constexpr const char *PoolHeader = "Hyssopcross-Pool";
+inline constexpr const char *HandedOverHeader = "Hyssopcross-Handed-Over";
+
 /// Whose fair share of a service a call counts against.
 inline constexpr const char *ShareHeader = "Hyssopcross-Share";
 
--- a/tools/hyssopcross/Client.h
+++ b/tools/hyssopcross/Client.h
@@ -3,6 +3,7 @@
 
 #include "hyssopcross/base/Error.h"
 #include "hyssopcross/base/Settings.h"
+#include "hyssopcross/httpclient/Client.h"
 #include <chrono>
 #include <string>
 #include <string_view>
@@ -12,7 +13,7 @@
 
 /// An answer of an entry VM.
 struct Response {
-  long m_Status = 0;
+  int m_Status = 0;
   std::string m_Body;
 };
 
@@ -38,8 +39,12 @@
                         std::string_view Body) override;
 
 private:
+  Result<Response> exchange(const Address &Entry, std::string_view Method,
+                            std::string_view Path, std::string_view Body);
+
   std::vector<Address> m_Entries;
   std::chrono::milliseconds m_Timeout;
+  httpclient::Client m_Client;
   size_t m_First = 0;
 };
 
--- a/tools/hyssopcrossd/Flags.cpp
+++ b/tools/hyssopcrossd/Flags.cpp
@@ -138,9 +138,9 @@
   Settings.m_Region = FLAGS_region;
   Settings.m_StoreThreads = static_cast<unsigned>(FLAGS_store_threads);
   Settings.m_CallerLimits.m_Connections =
-      static_cast<unsigned>(FLAGS_max_connections);
+      static_cast<size_t>(FLAGS_max_connections);
   Settings.m_CallerLimits.m_BodyBytes =
-      static_cast<size_t>(FLAGS_max_body_bytes);
+      static_cast<uint64_t>(FLAGS_max_body_bytes);
   Settings.m_BodyBudget = FLAGS_body_budget_bytes;
   Settings.m_TraceShare = FLAGS_trace_share;
   Settings.m_Seed = chooseSeed();
