--- a/libs/admin/include/hyssopcross/admin/Admin.h
+++ b/libs/admin/include/hyssopcross/admin/Admin.h
@@ -4,7 +4,7 @@
 #include "hyssopcross/base/Clock.h"
 #include "hyssopcross/catalogue/Follower.h"
 #include "hyssopcross/catalogue/InForce.h"
-#include "hyssopcross/platform/Ports.h"
+#include "hyssopcross/store/Ports.h"
 #include <functional>
 
 namespace hyssopcross::admin {
@@ -29,7 +29,7 @@
 /// the ports alive; the functions must be safe from any thread that calls
 /// handleAdmin().
 struct AdminContext {
-  platform::Table *m_Table = nullptr;
+  store::Table *m_Table = nullptr;
   const Clock *m_Clock = nullptr;
   /// Waits between two tries at the store.
   std::function<void(Duration)> m_Pause;
--- a/libs/admin/src/Pruning.cpp
+++ b/libs/admin/src/Pruning.cpp
@@ -9,12 +9,12 @@
 
 /// Removes a version and its change row; false if there was none or the store
 /// failed.
-bool pruneOne(platform::Table &Table, uint64_t Version) {
+bool pruneOne(store::Table &Table, uint64_t Version) {
   std::string VersionKey = catalogue::versionRowKey(Version);
   auto Row = Table.read(VersionKey);
   if (!Row || !Row.value())
     return false;
-  std::vector<platform::Write> Writes = {
+  std::vector<store::Write> Writes = {
       {VersionKey, Row.value()->m_Version, std::nullopt}};
   auto Record = catalogue::readVersionRow(Row.value()->m_Value);
   if (Record) {
@@ -30,7 +30,7 @@
 
 } // namespace
 
-void pruneVersions(platform::Table &Table, uint64_t Accepted, uint64_t Keep) {
+void pruneVersions(store::Table &Table, uint64_t Accepted, uint64_t Keep) {
   if (Accepted <= Keep)
     return;
   uint64_t Version = Accepted - Keep;
--- a/libs/admin/src/Responses.h
+++ b/libs/admin/src/Responses.h
@@ -48,7 +48,7 @@
 
 /// Removes the version that is Keep versions older than Accepted, and a few
 /// before it that an earlier failure may have left. Failures are ignored.
-void pruneVersions(platform::Table &Table, uint64_t Accepted, uint64_t Keep);
+void pruneVersions(store::Table &Table, uint64_t Accepted, uint64_t Keep);
 
 } // namespace hyssopcross::admin
 
--- a/libs/catalogue/src/Follower.cpp
+++ b/libs/catalogue/src/Follower.cpp
@@ -115,7 +115,7 @@
   startRead(Ctx, versionRowKey(Version));
 }
 
-void versionRead(Context &Ctx, const platform::Row &Row) {
+void versionRead(Context &Ctx, const store::Row &Row) {
   auto Record = readVersionRow(Row.m_Value);
   if (!Record ||
       Record.value().m_Catalogue.m_Version != Ctx.m_State.m_ReadingVersion)
--- a/libs/claims/src/Requests.cpp
+++ b/libs/claims/src/Requests.cpp
@@ -23,7 +23,7 @@
   return RowState::Claimed;
 }
 
-platform::Write makeWrite(const Claim &Of) {
+store::Write makeWrite(const Claim &Of) {
   ClaimRow Row;
   Row.m_Digest = Of.m_Arrival.m_Digest;
   Row.m_Attempt = Of.m_Attempt;
--- a/libs/claims/src/Sweep.cpp
+++ b/libs/claims/src/Sweep.cpp
@@ -38,7 +38,7 @@
 
 /// Collects the removal of a row if it has expired.
 void collectExpired(Context &Ctx, SweepState &Sweep, const std::string &Key,
-                    const platform::Row &Row, records::CommitRows &Commit) {
+                    const store::Row &Row, records::CommitRows &Commit) {
   auto Value = readRow(Row.m_Value);
   if (!Value || Value.value().m_Deadline + Ctx.m_State.m_Policy.m_Retention >
                     Ctx.m_Now.m_Wall)
--- a/libs/claims/tests/ClaimsTest.cpp
+++ b/libs/claims/tests/ClaimsTest.cpp
@@ -118,9 +118,9 @@
       Reads.push_back(Read->m_Request);
   On.feed(records::RowRead{
       Reads[0], true,
-      platform::Row{R"({"digest":"d1","attempt":"vm2.1","deadline_us":1,)"
-                    R"("state":"claimed"})",
-                    7}});
+      store::Row{R"({"digest":"d1","attempt":"vm2.1","deadline_us":1,)"
+                 R"("state":"claimed"})",
+                 7}});
   CHECK(On.said() == AnswerKind::InProgress);
   On.feed(records::RowRead{Reads[1], true, {}});
   On.feed(records::RowRead{Reads[2], true, {}});
--- a/libs/entry/include/hyssopcross/entry/Control.h
+++ b/libs/entry/include/hyssopcross/entry/Control.h
@@ -31,7 +31,7 @@
   const Clock &m_Clock;
   boost::asio::io_context &m_Loop;
   StoreAccess &m_Store;
-  platform::VmList &m_VmList;
+  store::VmList &m_VmList;
   Workers &m_StoreThreads;
   peer::PeerClients &m_Peers;
   Workers &m_PeerThreads;
@@ -162,8 +162,8 @@
   /// The run of each VM whose catalogue version is known.
   std::map<std::string, uint64_t> m_Incarnations;
   addresses::OwnerTable m_Owners;
-  std::vector<platform::VmRecord> m_Records;
-  std::vector<platform::VmRecord> m_WholeList;
+  std::vector<store::VmRecord> m_Records;
+  std::vector<store::VmRecord> m_WholeList;
   TimePoint m_WholeListAt;
   std::map<balancing::PoolId, std::vector<balancing::ServerDigest>> m_Digests;
   TimePoint m_ChangedAt;
--- a/libs/entry/include/hyssopcross/entry/OperatorFront.h
+++ b/libs/entry/include/hyssopcross/entry/OperatorFront.h
@@ -15,7 +15,7 @@
 class OperatorFront {
 public:
   OperatorFront(const Clock &Time, boost::asio::io_context &Loop,
-                platform::Table &Table, Control &Routing, Pools &Served,
+                store::Table &Table, Control &Routing, Pools &Served,
                 ClaimsHost &Claims, Metrics &Figures);
 
   /// Answers one request, later. On the loop's thread.
--- a/libs/entry/include/hyssopcross/entry/StoreAccess.h
+++ b/libs/entry/include/hyssopcross/entry/StoreAccess.h
@@ -2,8 +2,8 @@
 #define HYSSOPCROSS_ENTRY_STOREACCESS_H
 
 #include "hyssopcross/entry/Workers.h"
-#include "hyssopcross/platform/Ports.h"
 #include "hyssopcross/records/Store.h"
+#include "hyssopcross/store/Ports.h"
 #include <functional>
 
 namespace hyssopcross::entry {
@@ -14,7 +14,7 @@
 /// calling thread. Safe from any thread.
 class StoreAccess {
 public:
-  StoreAccess(platform::Table &Table, platform::ObjectStore &Objects,
+  StoreAccess(store::Table &Table, store::ObjectStore &Objects,
               Workers &Threads);
 
   void run(const records::ReadRow &Request,
@@ -30,8 +30,8 @@
   void run(const records::RemoveObject &Request);
 
 private:
-  platform::Table &m_Table;
-  platform::ObjectStore &m_Objects;
+  store::Table &m_Table;
+  store::ObjectStore &m_Objects;
   Workers &m_Threads;
 };
 
--- a/libs/entry/src/ControlMembership.cpp
+++ b/libs/entry/src/ControlMembership.cpp
@@ -120,10 +120,9 @@
   // A VM that the platform lists and that was not heard yet may still take
   // part; without it, a version would count as in force too early.
   if (Now - m_WholeListAt < ListFreshness)
-    for (const platform::VmRecord &Each : m_WholeList)
-      if (Each.m_Role == platform::VmRole::Entry &&
-          Each.m_State == platform::VmState::Live &&
-          !Known.contains(Each.m_Name))
+    for (const store::VmRecord &Each : m_WholeList)
+      if (Each.m_Role == store::VmRole::Entry &&
+          Each.m_State == store::VmState::Live && !Known.contains(Each.m_Name))
         Live.insert(Each.m_Name);
   catalogue::setLive(m_InForce, std::move(Live));
 }
--- a/libs/entry/src/ControlOwnership.cpp
+++ b/libs/entry/src/ControlOwnership.cpp
@@ -180,8 +180,8 @@
       Staffed.insert(Each.m_Info.m_DataCentre);
   // A listed VM that was not heard yet counts until it had time to be heard.
   if (Now - m_StartedAt < ForeignPoolWait)
-    for (const platform::VmRecord &Each : m_WholeList)
-      if (Each.m_Role == platform::VmRole::Entry)
+    for (const store::VmRecord &Each : m_WholeList)
+      if (Each.m_Role == store::VmRole::Entry)
         Staffed.insert(Each.m_DataCentre);
   return Staffed;
 }
@@ -192,12 +192,12 @@
   const catalogue::Catalogue &Current = *m_Follower.m_Current;
   std::set<std::string> Staffed = staffedDataCentres();
   std::set<PoolId> Wanted;
-  for (const platform::VmRecord &Each : m_Records)
-    if (Each.m_Role == platform::VmRole::Backend &&
+  for (const store::VmRecord &Each : m_Records)
+    if (Each.m_Role == store::VmRole::Backend &&
         Current.m_Services.contains(Each.m_Service))
       Wanted.insert({Each.m_Service, m_Settings.m_Self.m_DataCentre});
-  for (const platform::VmRecord &Each : m_WholeList)
-    if (Each.m_Role == platform::VmRole::Backend &&
+  for (const store::VmRecord &Each : m_WholeList)
+    if (Each.m_Role == store::VmRole::Backend &&
         Current.m_Services.contains(Each.m_Service) &&
         !Staffed.contains(Each.m_DataCentre) && inService(Each.m_DataCentre))
       Wanted.insert({Each.m_Service, Each.m_DataCentre});
@@ -211,16 +211,16 @@
 
 std::vector<balancing::ServerRecord>
 Control::serversOf(const PoolId &Pool) const {
-  const std::vector<platform::VmRecord> &Records =
+  const std::vector<store::VmRecord> &Records =
       Pool.m_DataCentre == m_Settings.m_Self.m_DataCentre ? m_Records
                                                           : m_WholeList;
   std::vector<balancing::ServerRecord> Servers;
-  for (const platform::VmRecord &Each : Records)
-    if (Each.m_Role == platform::VmRole::Backend &&
+  for (const store::VmRecord &Each : Records)
+    if (Each.m_Role == store::VmRole::Backend &&
         Each.m_Service == Pool.m_Service &&
         Each.m_DataCentre == Pool.m_DataCentre)
       Servers.push_back(
-          {Each.m_Address, Each.m_State == platform::VmState::Leaving});
+          {Each.m_Address, Each.m_State == store::VmState::Leaving});
   return Servers;
 }
 
--- a/libs/entry/src/Node.cpp
+++ b/libs/entry/src/Node.cpp
@@ -1,6 +1,6 @@
 #include "hyssopcross/entry/Node.h"
 #include "hyssopcross/base/Log.h"
-#include "hyssopcross/platform/HttpPlatform.h"
+#include "hyssopcross/store/HttpStore.h"
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <future>
@@ -54,12 +54,12 @@
 /// destroyed in reverse, so each may use those above it.
 struct Node::Parts {
   Parts(const NodeSettings &Settings, const Clock &Time)
-      : m_Table(platform::connectTable(Settings.m_Platform,
-                                       Settings.m_StoreTimeout)),
-        m_Objects(platform::connectObjectStore(Settings.m_Platform,
-                                               Settings.m_StoreTimeout)),
-        m_VmList(platform::connectVmList(Settings.m_Platform,
-                                         Settings.m_StoreTimeout)),
+      : m_Table(
+            store::connectTable(Settings.m_Platform, Settings.m_StoreTimeout)),
+        m_Objects(store::connectObjectStore(Settings.m_Platform,
+                                            Settings.m_StoreTimeout)),
+        m_VmList(
+            store::connectVmList(Settings.m_Platform, Settings.m_StoreTimeout)),
         m_Tracer(Settings.m_TraceShare, Settings.m_Seed),
         m_Timers(m_Loop, Time),
         m_PeerThreads(std::make_unique<Workers>(Settings.m_PeerThreads)),
@@ -127,9 +127,9 @@
   }
 
   boost::asio::io_context m_Loop;
-  std::unique_ptr<platform::Table> m_Table;
-  std::unique_ptr<platform::ObjectStore> m_Objects;
-  std::unique_ptr<platform::VmList> m_VmList;
+  std::unique_ptr<store::Table> m_Table;
+  std::unique_ptr<store::ObjectStore> m_Objects;
+  std::unique_ptr<store::VmList> m_VmList;
   trace::Tracer m_Tracer;
   Metrics m_Metrics;
   peer::PeerClients m_Peers;
--- a/libs/entry/src/OperatorFront.cpp
+++ b/libs/entry/src/OperatorFront.cpp
@@ -50,7 +50,7 @@
 } // namespace
 
 OperatorFront::OperatorFront(const Clock &Time, boost::asio::io_context &Loop,
-                             platform::Table &Table, Control &Routing,
+                             store::Table &Table, Control &Routing,
                              Pools &Served, ClaimsHost &Claims,
                              Metrics &Figures)
     : m_Loop(Loop), m_Control(Routing), m_Pools(Served), m_Claims(Claims),
--- a/libs/entry/src/StoreAccess.cpp
+++ b/libs/entry/src/StoreAccess.cpp
@@ -7,9 +7,9 @@
 /// Requests that wait for a worker.
 constexpr size_t MaxWaiting = 2048;
 
-records::CommitEnd commitEnd(const Result<platform::CommitResult> &Committed) {
+records::CommitEnd commitEnd(const Result<store::CommitResult> &Committed) {
   if (Committed)
-    return Committed.value() == platform::CommitResult::Committed
+    return Committed.value() == store::CommitResult::Committed
                ? records::CommitEnd::Committed
                : records::CommitEnd::Conflict;
   return Committed.error().m_Code == ErrorCode::Unknown
@@ -24,7 +24,7 @@
 
 } // namespace
 
-StoreAccess::StoreAccess(platform::Table &Table, platform::ObjectStore &Objects,
+StoreAccess::StoreAccess(store::Table &Table, store::ObjectStore &Objects,
                          Workers &Threads)
     : m_Table(Table), m_Objects(Objects), m_Threads(Threads) {}
 
--- a/libs/entry/src/WireControl.cpp
+++ b/libs/entry/src/WireControl.cpp
@@ -39,7 +39,7 @@
   return static_cast<Enum>(Value);
 }
 
-wire::VmRecord toWire(const platform::VmRecord &Record) {
+wire::VmRecord toWire(const store::VmRecord &Record) {
   wire::VmRecord Message;
   Message.name = Record.m_Name;
   Message.role = static_cast<int8_t>(Record.m_Role);
@@ -51,17 +51,17 @@
   return Message;
 }
 
-Result<platform::VmRecord> fromWire(const wire::VmRecord &Message) {
-  auto Role = readEnum(Message.role, platform::VmRole::Backend);
+Result<store::VmRecord> fromWire(const wire::VmRecord &Message) {
+  auto Role = readEnum(Message.role, store::VmRole::Backend);
   if (!Role)
     return fail(Role.error().m_Code, Role.error().m_Message);
-  auto State = readEnum(Message.state, platform::VmState::Leaving);
+  auto State = readEnum(Message.state, store::VmState::Leaving);
   if (!State)
     return fail(State.error().m_Code, State.error().m_Message);
-  return platform::VmRecord{Message.name,       Role.value(),
-                            State.value(),      Message.dataCentre,
-                            Message.address,    Message.peerAddress,
-                            Message.serviceName};
+  return store::VmRecord{Message.name,       Role.value(),
+                         State.value(),      Message.dataCentre,
+                         Message.address,    Message.peerAddress,
+                         Message.serviceName};
 }
 
 Result<membership::Heartbeat> readHeartbeat(const wire::Heartbeat &Message) {
@@ -160,7 +160,7 @@
   if (!Message.m_Records)
     return Wire;
   std::vector<wire::VmRecord> Records;
-  for (const platform::VmRecord &Each : *Message.m_Records)
+  for (const store::VmRecord &Each : *Message.m_Records)
     Records.push_back(toWire(Each));
   Wire.__set_records(Records);
   return Wire;
--- a/libs/membership/include/hyssopcross/membership/Membership.h
+++ b/libs/membership/include/hyssopcross/membership/Membership.h
@@ -76,7 +76,7 @@
 
 /// A VM that the platform's list names.
 struct ListedVm {
-  platform::VmRecord m_Record;
+  store::VmRecord m_Record;
   /// The incarnation that was known when the list first called it leaving.
   uint64_t m_LeavingIncarnation = 0;
 };
@@ -106,7 +106,7 @@
   std::map<std::string, DataCentreState> m_DataCentres;
   std::map<std::string, ListedVm> m_Listed;
   /// The list's records of the own data centre, and the hash over them.
-  std::vector<platform::VmRecord> m_List;
+  std::vector<store::VmRecord> m_List;
   uint64_t m_ListHash = 0;
   /// Members that send their heartbeats to this VM.
   std::set<std::string> m_Watched;
@@ -139,7 +139,7 @@
 
 /// The answer to PollVmList; no value if the platform was not reached.
 struct VmListFetched {
-  std::optional<std::vector<platform::VmRecord>> m_Records;
+  std::optional<std::vector<store::VmRecord>> m_Records;
 };
 
 /// A VM of the data centre asks for the list.
@@ -191,7 +191,7 @@
 /// The platform's records of this data centre have changed, backend servers
 /// included.
 struct VmListChanged {
-  std::vector<platform::VmRecord> m_Records;
+  std::vector<store::VmRecord> m_Records;
 };
 
 /// view() gives another result than before.
--- a/libs/membership/include/hyssopcross/membership/Messages.h
+++ b/libs/membership/include/hyssopcross/membership/Messages.h
@@ -1,7 +1,7 @@
 #ifndef HYSSOPCROSS_MEMBERSHIP_MESSAGES_H
 #define HYSSOPCROSS_MEMBERSHIP_MESSAGES_H
 
-#include "hyssopcross/platform/Types.h"
+#include "hyssopcross/store/Types.h"
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -85,7 +85,7 @@
 struct VmListAnswer {
   std::string m_From;
   uint64_t m_Hash = 0;
-  std::optional<std::vector<platform::VmRecord>> m_Records;
+  std::optional<std::vector<store::VmRecord>> m_Records;
 };
 
 /// The size of a message in bytes as the Thrift compact protocol encodes it:
--- a/libs/membership/src/Context.h
+++ b/libs/membership/src/Context.h
@@ -59,7 +59,7 @@
 
 // ListSync.cpp
 
-void takeList(Context &Step, const std::vector<platform::VmRecord> &Records);
+void takeList(Context &Step, const std::vector<store::VmRecord> &Records);
 void answerListRequest(Context &Step, const VmListRequest &Request);
 void takeListAnswer(Context &Step, const VmListAnswer &Answer);
 /// Polls the platform or asks a poller, when it is time.
--- a/libs/membership/src/Digest.cpp
+++ b/libs/membership/src/Digest.cpp
@@ -60,7 +60,7 @@
 /// Whether the list names a VM that may be up although it is not known so. A
 /// VM of another data centre matters only while that one is not heard.
 bool isContact(const MembershipState &State, const ListedVm &Listed) {
-  const platform::VmRecord &Record = Listed.m_Record;
+  const store::VmRecord &Record = Listed.m_Record;
   if (Record.m_Name == State.m_Self.m_Name)
     return false;
   auto Known = State.m_Members.find(Record.m_Name);
--- a/libs/membership/src/ListSync.cpp
+++ b/libs/membership/src/ListSync.cpp
@@ -6,15 +6,15 @@
 
 namespace {
 
-using Records = std::vector<platform::VmRecord>;
+using Records = std::vector<store::VmRecord>;
 
 /// What a VM of a data centre needs: its own data centre's records, for the
 /// backend servers, and all entry VMs.
 Records relevantRecords(const Records &All, const std::string &DataCentre) {
   Records Relevant;
-  for (const platform::VmRecord &Record : All)
+  for (const store::VmRecord &Record : All)
     if (Record.m_DataCentre == DataCentre ||
-        Record.m_Role == platform::VmRole::Entry)
+        Record.m_Role == store::VmRole::Entry)
       Relevant.push_back(Record);
   std::sort(Relevant.begin(), Relevant.end(),
             [](const auto &A, const auto &B) { return A.m_Name < B.m_Name; });
@@ -27,7 +27,7 @@
 
 uint64_t listHash(const Records &List) {
   uint64_t Hash = 1;
-  for (const platform::VmRecord &Record : List) {
+  for (const store::VmRecord &Record : List) {
     hashText(Hash, Record.m_Name);
     hashText(Hash, Record.m_DataCentre);
     hashText(Hash, Record.m_Address);
@@ -72,14 +72,14 @@
   MembershipState &State = Step.m_State;
   std::map<std::string, ListedVm> Before = std::move(State.m_Listed);
   State.m_Listed.clear();
-  for (const platform::VmRecord &Record : List) {
-    if (Record.m_Role != platform::VmRole::Entry)
+  for (const store::VmRecord &Record : List) {
+    if (Record.m_Role != store::VmRole::Entry)
       continue;
     ListedVm Listed{Record, 0};
-    if (Record.m_State == platform::VmState::Leaving) {
+    if (Record.m_State == store::VmState::Leaving) {
       auto Last = Before.find(Record.m_Name);
       bool SaidBefore = Last == Before.end() || Last->second.m_Record.m_State ==
-                                                    platform::VmState::Leaving;
+                                                    store::VmState::Leaving;
       if (!SaidBefore)
         Listed.m_LeavingIncarnation = knownIncarnation(State, Record.m_Name);
       else if (Last != Before.end())
--- a/libs/membership/src/Messages.cpp
+++ b/libs/membership/src/Messages.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-size_t recordSize(const platform::VmRecord &Record) {
+size_t recordSize(const store::VmRecord &Record) {
   return stringField(Record.m_Name) + EnumField + EnumField +
          stringField(Record.m_DataCentre) + stringField(Record.m_Address) +
          stringField(Record.m_PeerAddress) + stringField(Record.m_Service) +
@@ -67,7 +67,7 @@
   if (!Message.m_Records)
     return Size;
   Size += listField(Message.m_Records->size());
-  for (const platform::VmRecord &Record : *Message.m_Records)
+  for (const store::VmRecord &Record : *Message.m_Records)
     Size += recordSize(Record);
   return Size;
 }
--- a/libs/membership/tests/Fleet.cpp
+++ b/libs/membership/tests/Fleet.cpp
@@ -14,8 +14,8 @@
   Started.m_State = std::make_unique<MembershipState>(Self, m_Policy, m_Now);
   at(m_Now + ListLag, [this, Self] {
     m_List[Self.m_Name] = {Self.m_Name,
-                           platform::VmRole::Entry,
-                           platform::VmState::Live,
+                           store::VmRole::Entry,
+                           store::VmState::Live,
                            Self.m_DataCentre,
                            Self.m_Address,
                            Self.m_PeerAddress,
@@ -43,7 +43,7 @@
 }
 
 void Fleet::listLeaving(const std::string &Name) {
-  m_List.at(Name).m_State = platform::VmState::Leaving;
+  m_List.at(Name).m_State = store::VmState::Leaving;
 }
 
 void Fleet::cut(std::function<bool(const VmInfo &, const VmInfo &)> Cut,
@@ -102,7 +102,7 @@
     deliver(From, Answered->m_To, VmListAnswered{Answered->m_Message});
   } else if (std::holds_alternative<PollVmList>(Wanted)) {
     ++m_ListFetches;
-    VmListFetched Answer{std::vector<platform::VmRecord>{}};
+    VmListFetched Answer{std::vector<store::VmRecord>{}};
     for (const auto &[Name, Record] : m_List)
       Answer.m_Records->push_back(Record);
     at(m_Now + 20ms,
--- a/libs/membership/tests/Fleet.h
+++ b/libs/membership/tests/Fleet.h
@@ -68,7 +68,7 @@
   std::mt19937_64 m_Random;
   std::multimap<TimePoint, std::function<void()>> m_Events;
   std::map<std::string, Vm> m_Vms;
-  std::map<std::string, platform::VmRecord> m_List;
+  std::map<std::string, store::VmRecord> m_List;
   std::function<bool(const VmInfo &, const VmInfo &)> m_Cut;
   TimePoint m_CutUntil;
   uint64_t m_Incarnations = 100;
--- a/libs/ownership/include/hyssopcross/ownership/Ownership.h
+++ b/libs/ownership/include/hyssopcross/ownership/Ownership.h
@@ -4,7 +4,7 @@
 #include "hyssopcross/base/Clock.h"
 #include "hyssopcross/ownership/LeaseRow.h"
 #include "hyssopcross/ownership/Messages.h"
-#include "hyssopcross/platform/Types.h"
+#include "hyssopcross/store/Types.h"
 #include <deque>
 #include <map>
 #include <optional>
@@ -261,7 +261,7 @@
 /// The row as read, or none if it is absent.
 struct ReadSucceeded {
   uint64_t m_Request = 0;
-  std::optional<platform::Row> m_Row;
+  std::optional<store::Row> m_Row;
 };
 
 /// The store was not reached.
@@ -312,7 +312,7 @@
 /// that the host takes before the send makes the lease shorter, never longer.
 struct CommitLease {
   uint64_t m_Request = 0;
-  std::vector<platform::Write> m_Writes;
+  std::vector<store::Write> m_Writes;
 };
 
 /// Send a message to the VM of this name, once; it may be lost. The host knows
--- a/libs/ownership/src/Store.cpp
+++ b/libs/ownership/src/Store.cpp
@@ -87,7 +87,7 @@
 }
 
 void takeRow(Context &Step, const PoolId &Pool, PoolLease &Lease,
-             const std::optional<platform::Row> &Row) {
+             const std::optional<store::Row> &Row) {
   uint64_t Version = Row ? Row->m_Version : 0;
   bool Changed = !Lease.m_EverRead || Version != Lease.m_Version;
   if (Changed || Lease.m_SightLost)
--- a/libs/ownership/tests/LeaseTest.cpp
+++ b/libs/ownership/tests/LeaseTest.cpp
@@ -312,7 +312,7 @@
         if (const auto *Read = std::get_if<ReadLease>(&Wanted))
           step(State,
                ReadSucceeded{Read->m_Request,
-                             platform::Row{encodeLeaseRow(Held), 5}},
+                             store::Row{encodeLeaseRow(Held), 5}},
                Now, Actions);
       }
       Now += 100ms;
--- a/libs/ownership/tests/World.cpp
+++ b/libs/ownership/tests/World.cpp
@@ -202,15 +202,15 @@
   });
 }
 
-CommitEnd World::commit(const std::vector<platform::Write> &Writes) {
-  for (const platform::Write &Write : Writes) {
+CommitEnd World::commit(const std::vector<store::Write> &Writes) {
+  for (const store::Write &Write : Writes) {
     auto Found = m_Table.find(Write.m_Key);
     uint64_t Version = Found == m_Table.end() ? 0 : Found->second.m_Version;
     if (Version != Write.m_ExpectedVersion)
       return CommitEnd::Conflict;
   }
   ++m_Transactions;
-  for (const platform::Write &Write : Writes) {
+  for (const store::Write &Write : Writes) {
     ++m_RowWrites;
     m_Version += 1 + m_Random() % 5;
     m_Table[Write.m_Key] = {*Write.m_Value, m_Version};
--- a/libs/ownership/tests/World.h
+++ b/libs/ownership/tests/World.h
@@ -113,7 +113,7 @@
   void perform(Vm &, const std::shared_ptr<Process> &, const ReadLease &);
   void perform(Vm &, const std::shared_ptr<Process> &, const CommitLease &);
   void perform(Vm &, const std::shared_ptr<Process> &, const SendMessage &);
-  CommitEnd commit(const std::vector<platform::Write> &Writes);
+  CommitEnd commit(const std::vector<store::Write> &Writes);
   void check();
 
   Setup m_Setup;
@@ -122,7 +122,7 @@
   TimePoint m_Now;
   TimePoint m_StoreDownUntil;
   std::multimap<TimePoint, Handler> m_Events;
-  std::map<std::string, platform::Row> m_Table;
+  std::map<std::string, store::Row> m_Table;
   uint64_t m_Version = 0;
   uint64_t m_Incarnations = 0;
   std::vector<Vm> m_Vms;
--- a/libs/peer/peer.thrift
+++ b/libs/peer/peer.thrift
@@ -68,7 +68,7 @@
 
 struct VmRecord {
   1: string name,
-  // Order of platform::VmRole and platform::VmState.
+  // Order of store::VmRole and store::VmState.
   2: i8 role,
   3: i8 state,
   4: string dataCentre,
--- a/libs/records/include/hyssopcross/records/Store.h
+++ b/libs/records/include/hyssopcross/records/Store.h
@@ -2,7 +2,7 @@
 #define HYSSOPCROSS_RECORDS_STORE_H
 
 #include "hyssopcross/base/Clock.h"
-#include "hyssopcross/platform/Types.h"
+#include "hyssopcross/store/Types.h"
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -40,7 +40,7 @@
 /// Apply all writes or none. Answered with CommitEnded.
 struct CommitRows {
   RequestId m_Request = 0;
-  std::vector<platform::Write> m_Writes;
+  std::vector<store::Write> m_Writes;
 };
 
 /// Store an object. Answered with ObjectEnded.
@@ -67,14 +67,14 @@
 struct RowRead {
   RequestId m_Request = 0;
   bool m_Reached = true;
-  std::optional<platform::Row> m_Row;
+  std::optional<store::Row> m_Row;
 };
 
 /// A scan was answered, or failed because the store was not reached.
 struct RowsScanned {
   RequestId m_Request = 0;
   bool m_Reached = true;
-  std::map<std::string, platform::Row> m_Rows;
+  std::map<std::string, store::Row> m_Rows;
 };
 
 /// How a transaction ended, as far as it is known.
--- a/libs/records/src/Perform.cpp
+++ b/libs/records/src/Perform.cpp
@@ -2,38 +2,37 @@
 
 namespace hyssopcross::records {
 
-RowRead perform(platform::Table &Table, const ReadRow &Request) {
+RowRead perform(store::Table &Table, const ReadRow &Request) {
   auto Read = Table.read(Request.m_Key);
   if (!Read)
     return {Request.m_Request, false, {}};
   return {Request.m_Request, true, Read.value()};
 }
 
-RowsScanned perform(platform::Table &Table, const ScanRows &Request) {
+RowsScanned perform(store::Table &Table, const ScanRows &Request) {
   auto Scanned = Table.scan(Request.m_Prefix, Request.m_Limit);
   if (!Scanned)
     return {Request.m_Request, false, {}};
   return {Request.m_Request, true, Scanned.value()};
 }
 
-CommitEnded perform(platform::Table &Table, const CommitRows &Request) {
+CommitEnded perform(store::Table &Table, const CommitRows &Request) {
   auto Ended = Table.commit(Request.m_Writes);
   if (Ended)
-    return {Request.m_Request,
-            Ended.value() == platform::CommitResult::Committed
-                ? CommitEnd::Committed
-                : CommitEnd::Conflict};
+    return {Request.m_Request, Ended.value() == store::CommitResult::Committed
+                                   ? CommitEnd::Committed
+                                   : CommitEnd::Conflict};
   bool NoEffect = Ended.error().m_Code == ErrorCode::Unavailable;
   return {Request.m_Request,
           NoEffect ? CommitEnd::Unavailable : CommitEnd::Unknown};
 }
 
-ObjectEnded perform(platform::ObjectStore &Store, const PutObject &Request) {
+ObjectEnded perform(store::ObjectStore &Store, const PutObject &Request) {
   auto Stored = Store.put(Request.m_Key, Request.m_Body);
   return {Request.m_Request, Stored ? ObjectEnd::Done : ObjectEnd::Failed, {}};
 }
 
-ObjectEnded perform(platform::ObjectStore &Store, const GetObject &Request) {
+ObjectEnded perform(store::ObjectStore &Store, const GetObject &Request) {
   auto Read = Store.get(Request.m_Key);
   if (Read)
     return {Request.m_Request, ObjectEnd::Done, std::move(Read).value()};
@@ -42,7 +41,7 @@
       Request.m_Request, Absent ? ObjectEnd::NotFound : ObjectEnd::Failed, {}};
 }
 
-void perform(platform::ObjectStore &Store, const RemoveObject &Request) {
+void perform(store::ObjectStore &Store, const RemoveObject &Request) {
   (void)Store.remove(Request.m_Key);
 }
 
--- a/libs/records/tests/support/FakeStore.h
+++ b/libs/records/tests/support/FakeStore.h
@@ -16,20 +16,20 @@
   /// Share of commits whose answer is lost, in percent.
   uint32_t m_LostPercent = 0;
   Duration m_SlowBy{};
-  std::map<std::string, platform::Row> m_Rows;
+  std::map<std::string, store::Row> m_Rows;
   std::map<std::string, std::string> m_Objects;
   uint64_t m_Commits = 0;
   uint64_t m_RowWrites = 0;
   uint64_t m_Reads = 0;
 
-  bool apply(const std::vector<platform::Write> &Writes) {
-    for (const platform::Write &Write : Writes) {
+  bool apply(const std::vector<store::Write> &Writes) {
+    for (const store::Write &Write : Writes) {
       auto Row = m_Rows.find(Write.m_Key);
       uint64_t Version = Row == m_Rows.end() ? 0 : Row->second.m_Version;
       if (Version != Write.m_ExpectedVersion)
         return false;
     }
-    for (const platform::Write &Write : Writes)
+    for (const store::Write &Write : Writes)
       if (Write.m_Value)
         m_Rows[Write.m_Key] = {*Write.m_Value, ++m_LastVersion};
       else
@@ -101,7 +101,7 @@
     return m_SlowBy + m_Time.between(milliseconds(1), milliseconds(6));
   }
 
-  CommitEnd commit(const std::vector<platform::Write> &Writes) {
+  CommitEnd commit(const std::vector<store::Write> &Writes) {
     if (m_Down)
       return m_Time.chance(50) ? CommitEnd::Unavailable : lose(Writes);
     if (m_Time.chance(m_LostPercent))
@@ -110,7 +110,7 @@
   }
 
   /// The answer is lost: the write took effect, never does, or does so later.
-  CommitEnd lose(const std::vector<platform::Write> &Writes) {
+  CommitEnd lose(const std::vector<store::Write> &Writes) {
     uint64_t Kind = m_Time.below(3);
     if (Kind == 1)
       apply(Writes);
--- a/libs/standins/include/hyssopcross/standins/PlatformServer.h
+++ b/libs/standins/include/hyssopcross/standins/PlatformServer.h
@@ -1,9 +1,9 @@
 #ifndef HYSSOPCROSS_STANDINS_PLATFORMSERVER_H
 #define HYSSOPCROSS_STANDINS_PLATFORMSERVER_H
 
-#include "hyssopcross/platform/MemoryPlatform.h"
 #include "hyssopcross/standins/HttpServer.h"
 #include "hyssopcross/standins/RateLimit.h"
+#include "hyssopcross/store/MemoryStore.h"
 #include <atomic>
 
 namespace hyssopcross::standins {
@@ -32,7 +32,7 @@
   const Address &address() const { return m_Http->address(); }
 
   /// The state behind the protocol, for tests in the same process.
-  platform::MemoryPlatform &memory() { return m_Memory; }
+  store::MemoryStore &memory() { return m_Memory; }
 
   /// Operations refused by the limits of rate.
   uint64_t throttled() const { return m_Throttled; }
@@ -40,7 +40,7 @@
 private:
   PlatformServer(const PlatformServerOptions &Options, const Clock &Clock);
 
-  Result<void> admit(platform::MemoryPlatform::Access Access);
+  Result<void> admit(store::MemoryStore::Access Access);
   ServerAnswer serve(const ServerRequest &Request);
   ServerAnswer serveTable(const ServerRequest &Request);
   ServerAnswer serveObjects(const ServerRequest &Request);
@@ -50,7 +50,7 @@
   ServerAnswer showCounters();
 
   const Clock &m_Clock;
-  platform::MemoryPlatform m_Memory;
+  store::MemoryStore m_Memory;
   RateLimit m_Reads;
   RateLimit m_Writes;
   std::atomic<uint64_t> m_Throttled{0};
--- a/libs/standins/src/PlatformServer.cpp
+++ b/libs/standins/src/PlatformServer.cpp
@@ -1,11 +1,11 @@
 #include "hyssopcross/standins/PlatformServer.h"
-#include "hyssopcross/platform/Wire.h"
+#include "hyssopcross/store/Wire.h"
 #include <nlohmann/json.hpp>
 #include <thread>
 
 namespace hyssopcross::standins {
 
-using namespace platform;
+using namespace store;
 
 namespace {
 
@@ -70,7 +70,7 @@
       m_Writes(Options.m_MaxWritesPerSecond) {
   m_Memory.setListLag(Options.m_ListLag);
   m_Memory.setGate(
-      [this](MemoryPlatform::Access Access) { return admit(Access); });
+      [this](MemoryStore::Access Access) { return admit(Access); });
 }
 
 Result<std::unique_ptr<PlatformServer>>
@@ -87,9 +87,9 @@
   return Server;
 }
 
-Result<void> PlatformServer::admit(MemoryPlatform::Access Access) {
+Result<void> PlatformServer::admit(MemoryStore::Access Access) {
   std::this_thread::sleep_for(std::chrono::milliseconds(m_LatencyMs));
-  bool Write = Access == MemoryPlatform::Access::Write;
+  bool Write = Access == MemoryStore::Access::Write;
   RateLimit &Limit = Write ? m_Writes : m_Reads;
   if (Limit.take(m_Clock.now()))
     return boost::outcome_v2::success();
--- a/libs/platform/include/hyssopcross/platform/HttpPlatform.h
+++ b/libs/store/include/hyssopcross/store/HttpStore.h
@@ -1,12 +1,12 @@
-#ifndef HYSSOPCROSS_PLATFORM_HTTPPLATFORM_H
-#define HYSSOPCROSS_PLATFORM_HTTPPLATFORM_H
+#ifndef HYSSOPCROSS_STORE_HTTPSTORE_H
+#define HYSSOPCROSS_STORE_HTTPSTORE_H
 
 #include "hyssopcross/base/Clock.h"
 #include "hyssopcross/base/Settings.h"
-#include "hyssopcross/platform/Ports.h"
+#include "hyssopcross/store/Ports.h"
 #include <memory>
 
-namespace hyssopcross::platform {
+namespace hyssopcross::store {
 
 /// The platform's table over HTTP, as docs/PLATFORM.md lays it out. Nothing is
 /// sent until the first call; connections are kept. Each call blocks for at
@@ -21,6 +21,6 @@
 std::unique_ptr<VmList> connectVmList(const Address &Platform,
                                       Duration Timeout);
 
-} // namespace hyssopcross::platform
+} // namespace hyssopcross::store
 
 #endif
--- a/libs/platform/include/hyssopcross/platform/MemoryPlatform.h
+++ b/libs/store/include/hyssopcross/store/MemoryStore.h
@@ -1,12 +1,12 @@
-#ifndef HYSSOPCROSS_PLATFORM_MEMORYPLATFORM_H
-#define HYSSOPCROSS_PLATFORM_MEMORYPLATFORM_H
+#ifndef HYSSOPCROSS_STORE_MEMORYSTORE_H
+#define HYSSOPCROSS_STORE_MEMORYSTORE_H
 
 #include "hyssopcross/base/Clock.h"
-#include "hyssopcross/platform/Ports.h"
+#include "hyssopcross/store/Ports.h"
 #include <functional>
 #include <mutex>
 
-namespace hyssopcross::platform {
+namespace hyssopcross::store {
 
 /// How many operations a platform has served. Refused ones do not count.
 struct PlatformCounters {
@@ -23,7 +23,7 @@
 /// The platform's table, object store and list of VMs in memory, with switches
 /// for its faults. Safe to use from any thread; with one thread it is
 /// deterministic. The clock outlives it and times only the lag of the list.
-class MemoryPlatform final : public Table, public ObjectStore, public VmList {
+class MemoryStore final : public Table, public ObjectStore, public VmList {
 public:
   /// What an operation does to the platform.
   enum class Access { Read, Write };
@@ -33,7 +33,7 @@
   /// result, and the operation has no effect.
   using Gate = std::function<Result<void>(Access)>;
 
-  explicit MemoryPlatform(const Clock &Clock) : m_Clock(Clock) {}
+  explicit MemoryStore(const Clock &Clock) : m_Clock(Clock) {}
 
   Result<std::optional<Row>> read(std::string_view Key) override;
   Result<std::map<std::string, Row>> scan(std::string_view Prefix,
@@ -100,6 +100,6 @@
   PlatformCounters m_Counters;
 };
 
-} // namespace hyssopcross::platform
+} // namespace hyssopcross::store
 
 #endif
--- a/libs/platform/include/hyssopcross/platform/Ports.h
+++ b/libs/store/include/hyssopcross/store/Ports.h
@@ -1,13 +1,13 @@
-#ifndef HYSSOPCROSS_PLATFORM_PORTS_H
-#define HYSSOPCROSS_PLATFORM_PORTS_H
+#ifndef HYSSOPCROSS_STORE_PORTS_H
+#define HYSSOPCROSS_STORE_PORTS_H
 
 #include "hyssopcross/base/Error.h"
-#include "hyssopcross/platform/Types.h"
+#include "hyssopcross/store/Types.h"
 #include <map>
 #include <span>
 #include <string_view>
 
-namespace hyssopcross::platform {
+namespace hyssopcross::store {
 
 /// The platform's transactional table. Calls block for at most the timeout the
 /// implementation was built with and may be made from any thread.
@@ -59,6 +59,6 @@
   virtual Result<std::vector<VmRecord>> fetch() = 0;
 };
 
-} // namespace hyssopcross::platform
+} // namespace hyssopcross::store
 
 #endif
--- a/libs/platform/include/hyssopcross/platform/Types.h
+++ b/libs/store/include/hyssopcross/store/Types.h
@@ -1,12 +1,12 @@
-#ifndef HYSSOPCROSS_PLATFORM_TYPES_H
-#define HYSSOPCROSS_PLATFORM_TYPES_H
+#ifndef HYSSOPCROSS_STORE_TYPES_H
+#define HYSSOPCROSS_STORE_TYPES_H
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace hyssopcross::platform {
+namespace hyssopcross::store {
 
 /// A row of the platform's transactional table. The version changes with every
 /// write of the row and is never zero.
@@ -49,6 +49,6 @@
   friend bool operator==(const VmRecord &, const VmRecord &) = default;
 };
 
-} // namespace hyssopcross::platform
+} // namespace hyssopcross::store
 
 #endif
--- a/libs/platform/include/hyssopcross/platform/Wire.h
+++ b/libs/store/include/hyssopcross/store/Wire.h
@@ -1,8 +1,8 @@
-#ifndef HYSSOPCROSS_PLATFORM_WIRE_H
-#define HYSSOPCROSS_PLATFORM_WIRE_H
+#ifndef HYSSOPCROSS_STORE_WIRE_H
+#define HYSSOPCROSS_STORE_WIRE_H
 
 #include "hyssopcross/base/Error.h"
-#include "hyssopcross/platform/Types.h"
+#include "hyssopcross/store/Types.h"
 #include <map>
 #include <span>
 #include <string>
@@ -12,7 +12,7 @@
 /// The JSON messages of docs/PLATFORM.md. Decoding fails with Protocol and
 /// names what is wrong; it never throws. Encoding, but for writes, replaces
 /// bytes that are not UTF-8.
-namespace hyssopcross::platform {
+namespace hyssopcross::store {
 
 /// The body of an answer to reading one row.
 std::string encodeRow(const Row &Row);
@@ -41,6 +41,6 @@
 std::string encodeVm(const VmRecord &Vm);
 Result<VmRecord> decodeVm(std::string_view Json);
 
-} // namespace hyssopcross::platform
+} // namespace hyssopcross::store
 
 #endif
--- a/libs/platform/src/HttpPlatform.cpp
+++ b/libs/store/src/HttpStore.cpp
@@ -1,8 +1,8 @@
-#include "hyssopcross/platform/HttpPlatform.h"
+#include "hyssopcross/store/HttpStore.h"
 #include "hyssopcross/httpclient/Client.h"
-#include "hyssopcross/platform/Wire.h"
+#include "hyssopcross/store/Wire.h"
 
-namespace hyssopcross::platform {
+namespace hyssopcross::store {
 
 namespace {
 
@@ -203,4 +203,4 @@
   return std::make_unique<HttpVmList>(Platform, Timeout);
 }
 
-} // namespace hyssopcross::platform
+} // namespace hyssopcross::store
--- a/libs/platform/src/MemoryPlatform.cpp
+++ b/libs/store/src/MemoryStore.cpp
@@ -1,8 +1,8 @@
-#include "hyssopcross/platform/MemoryPlatform.h"
+#include "hyssopcross/store/MemoryStore.h"
 #include "hyssopcross/base/Invariant.h"
 #include <set>
 
-namespace hyssopcross::platform {
+namespace hyssopcross::store {
 
 namespace {
 
@@ -16,7 +16,7 @@
 
 } // namespace
 
-Result<void> MemoryPlatform::pass(Access Access) {
+Result<void> MemoryStore::pass(Access Access) {
   Gate Current;
   {
     std::lock_guard Lock(m_Mutex);
@@ -33,7 +33,7 @@
   return boost::outcome_v2::success();
 }
 
-Result<void> MemoryPlatform::finishWrite() {
+Result<void> MemoryStore::finishWrite() {
   ++m_Counters.m_Writes;
   if (m_AnswersToLose == 0)
     return boost::outcome_v2::success();
@@ -41,7 +41,7 @@
   return fail(ErrorCode::Unknown, "the answer was lost");
 }
 
-Result<std::optional<Row>> MemoryPlatform::read(std::string_view Key) {
+Result<std::optional<Row>> MemoryStore::read(std::string_view Key) {
   auto Passed = pass(Access::Read);
   if (!Passed)
     return Passed.as_failure();
@@ -53,8 +53,8 @@
   return std::optional<Row>(Found->second);
 }
 
-Result<std::map<std::string, Row>> MemoryPlatform::scan(std::string_view Prefix,
-                                                        size_t Limit) {
+Result<std::map<std::string, Row>> MemoryStore::scan(std::string_view Prefix,
+                                                     size_t Limit) {
   auto Passed = pass(Access::Read);
   if (!Passed)
     return Passed.as_failure();
@@ -70,7 +70,7 @@
   return Found;
 }
 
-bool MemoryPlatform::expectationsHold(std::span<const Write> Writes) const {
+bool MemoryStore::expectationsHold(std::span<const Write> Writes) const {
   for (const Write &Write : Writes) {
     auto Found = m_Rows.find(Write.m_Key);
     uint64_t Version = Found == m_Rows.end() ? 0 : Found->second.m_Version;
@@ -80,7 +80,7 @@
   return true;
 }
 
-Result<CommitResult> MemoryPlatform::commit(std::span<const Write> Writes) {
+Result<CommitResult> MemoryStore::commit(std::span<const Write> Writes) {
   if (namesRowTwice(Writes))
     return fail(ErrorCode::InvalidInput,
                 "two writes of the transaction name the same row");
@@ -107,7 +107,7 @@
   return Ended;
 }
 
-Result<void> MemoryPlatform::put(std::string_view Key, std::string_view Body) {
+Result<void> MemoryStore::put(std::string_view Key, std::string_view Body) {
   auto Passed = pass(Access::Write);
   if (!Passed)
     return Passed;
@@ -116,7 +116,7 @@
   return finishWrite();
 }
 
-Result<std::string> MemoryPlatform::get(std::string_view Key) {
+Result<std::string> MemoryStore::get(std::string_view Key) {
   auto Passed = pass(Access::Read);
   if (!Passed)
     return Passed.as_failure();
@@ -129,7 +129,7 @@
   return Found->second;
 }
 
-Result<void> MemoryPlatform::remove(std::string_view Key) {
+Result<void> MemoryStore::remove(std::string_view Key) {
   auto Passed = pass(Access::Write);
   if (!Passed)
     return Passed;
@@ -140,8 +140,8 @@
   return finishWrite();
 }
 
-Result<std::vector<std::string>> MemoryPlatform::list(std::string_view Prefix,
-                                                      size_t Limit) {
+Result<std::vector<std::string>> MemoryStore::list(std::string_view Prefix,
+                                                   size_t Limit) {
   auto Passed = pass(Access::Read);
   if (!Passed)
     return Passed.as_failure();
@@ -157,7 +157,7 @@
   return Keys;
 }
 
-Result<std::vector<VmRecord>> MemoryPlatform::fetch() {
+Result<std::vector<VmRecord>> MemoryStore::fetch() {
   auto Passed = pass(Access::Read);
   if (!Passed)
     return Passed.as_failure();
@@ -171,7 +171,7 @@
 }
 
 // Applies the changes that have become visible, oldest first.
-void MemoryPlatform::foldVmChanges(TimePoint Until) {
+void MemoryStore::foldVmChanges(TimePoint Until) {
   auto Next = m_VmChanges.begin();
   for (; Next != m_VmChanges.end() && Next->m_Time <= Until; ++Next) {
     if (Next->m_Record)
@@ -182,41 +182,41 @@
   m_VmChanges.erase(m_VmChanges.begin(), Next);
 }
 
-void MemoryPlatform::setVm(VmRecord Vm) {
+void MemoryStore::setVm(VmRecord Vm) {
   std::lock_guard Lock(m_Mutex);
   std::string Name = Vm.m_Name;
   m_VmChanges.push_back({m_Clock.now(), std::move(Name), std::move(Vm)});
 }
 
-void MemoryPlatform::removeVm(std::string_view Name) {
+void MemoryStore::removeVm(std::string_view Name) {
   std::lock_guard Lock(m_Mutex);
   m_VmChanges.push_back({m_Clock.now(), std::string(Name), std::nullopt});
 }
 
-void MemoryPlatform::setListLag(Duration Lag) {
+void MemoryStore::setListLag(Duration Lag) {
   HYSSOPCROSS_INVARIANT(Lag >= Duration::zero(), "a lag is not negative");
   std::lock_guard Lock(m_Mutex);
   m_ListLag = Lag;
 }
 
-void MemoryPlatform::setDown(bool Down) {
+void MemoryStore::setDown(bool Down) {
   std::lock_guard Lock(m_Mutex);
   m_Down = Down;
 }
 
-void MemoryPlatform::loseAnswers(uint32_t Count) {
+void MemoryStore::loseAnswers(uint32_t Count) {
   std::lock_guard Lock(m_Mutex);
   m_AnswersToLose = Count;
 }
 
-void MemoryPlatform::setGate(Gate Gate) {
+void MemoryStore::setGate(Gate Gate) {
   std::lock_guard Lock(m_Mutex);
   m_Gate = std::move(Gate);
 }
 
-PlatformCounters MemoryPlatform::counters() const {
+PlatformCounters MemoryStore::counters() const {
   std::lock_guard Lock(m_Mutex);
   return m_Counters;
 }
 
-} // namespace hyssopcross::platform
+} // namespace hyssopcross::store
--- a/libs/platform/src/Wire.cpp
+++ b/libs/store/src/Wire.cpp
@@ -1,7 +1,7 @@
-#include "hyssopcross/platform/Wire.h"
+#include "hyssopcross/store/Wire.h"
 #include <nlohmann/json.hpp>
 
-namespace hyssopcross::platform {
+namespace hyssopcross::store {
 
 namespace {
 
@@ -184,4 +184,4 @@
   return decode<VmRecord>(Text, "VM", toVm);
 }
 
-} // namespace hyssopcross::platform
+} // namespace hyssopcross::store
--- a/libs/platform/tests/PlatformTest.cpp
+++ b/libs/store/tests/StoreTest.cpp
@@ -1,10 +1,10 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "hyssopcross/platform/HttpPlatform.h"
 #include "hyssopcross/standins/PlatformServer.h"
+#include "hyssopcross/store/HttpStore.h"
 #include <doctest/doctest.h>
 
 using namespace hyssopcross;
-using namespace hyssopcross::platform;
+using namespace hyssopcross::store;
 
 namespace {
 
@@ -19,7 +19,7 @@
     auto Started = standins::PlatformServer::start(Options, m_Clock);
     REQUIRE(Started.has_value());
     m_Server = std::move(Started.value());
-    MemoryPlatform &Memory = m_Server->memory();
+    MemoryStore &Memory = m_Server->memory();
     m_Table = &Memory;
     m_Objects = &Memory;
     m_Vms = &Memory;
@@ -33,7 +33,7 @@
     m_Vms = m_HttpVms.get();
   }
 
-  MemoryPlatform &memory() { return m_Server->memory(); }
+  MemoryStore &memory() { return m_Server->memory(); }
 
   uint64_t version(std::string_view Key) {
     auto Read = memory().read(Key);
@@ -245,8 +245,8 @@
 
 TEST_CASE("a gate sees each access and can refuse it") {
   Fixture Under(false);
-  std::vector<MemoryPlatform::Access> Seen;
-  Under.memory().setGate([&Seen](MemoryPlatform::Access Access) {
+  std::vector<MemoryStore::Access> Seen;
+  Under.memory().setGate([&Seen](MemoryStore::Access Access) {
     Seen.push_back(Access);
     if (Seen.size() == 2)
       return Result<void>(fail(ErrorCode::Unavailable, "refused"));
@@ -256,7 +256,7 @@
   CHECK(Under.m_Table->read("a").has_value());
   CHECK(Under.m_Table->commit(Insert).error().m_Message == "refused");
   CHECK(Under.m_Table->commit(Insert).value() == CommitResult::Committed);
-  using Access = MemoryPlatform::Access;
+  using Access = MemoryStore::Access;
   CHECK(Seen == std::vector{Access::Read, Access::Write, Access::Write});
 }
 
--- a/libs/platform/tests/WireTest.cpp
+++ b/libs/store/tests/WireTest.cpp
@@ -1,8 +1,8 @@
-#include "hyssopcross/platform/Wire.h"
+#include "hyssopcross/store/Wire.h"
 #include <doctest/doctest.h>
 
 using namespace hyssopcross;
-using namespace hyssopcross::platform;
+using namespace hyssopcross::store;
 
 TEST_CASE("malformed messages are errors of the protocol") {
   const char *Texts[] = {"",
--- a/libs/uploads/src/Deliveries.cpp
+++ b/libs/uploads/src/Deliveries.cpp
@@ -21,7 +21,7 @@
   return Request;
 }
 
-void commit(Context &Ctx, DeliveryId Id, std::vector<platform::Write> Writes) {
+void commit(Context &Ctx, DeliveryId Id, std::vector<store::Write> Writes) {
   find(Ctx, Id).m_Committing = true;
   Ctx.m_Actions.push_back(
       records::CommitRows{awaitRequest(Ctx, Id), std::move(Writes)});
@@ -36,7 +36,7 @@
 }
 
 void startDelivery(Context &Ctx, const std::string &Service,
-                   const std::string &DueKey, const platform::Row &Row) {
+                   const std::string &DueKey, const store::Row &Row) {
   auto Due = dueTime(Service, DueKey);
   auto Value = readDueRow(Row.m_Value);
   if (!Due || !Value || *Due > Ctx.m_Now.m_Wall ||
@@ -56,7 +56,7 @@
 /// The receipt has been kept long enough, or there is none.
 void forgetReceipt(Context &Ctx, DeliveryId Id, bool HasRow) {
   Delivery &Of = find(Ctx, Id);
-  std::vector<platform::Write> Writes = {
+  std::vector<store::Write> Writes = {
       {Of.m_DueKey, Of.m_DueVersion, std::nullopt}};
   if (HasRow)
     Writes.push_back(
--- a/tools/bench-membership/Main.cpp
+++ b/tools/bench-membership/Main.cpp
@@ -137,7 +137,7 @@
          {},
          true,
          m_Now});
-    m_List.push_back({Name, platform::VmRole::Entry, platform::VmState::Live,
+    m_List.push_back({Name, store::VmRole::Entry, store::VmState::Live,
                       Self.m_DataCentre, Self.m_Address, Self.m_PeerAddress,
                       ""});
   }
@@ -234,7 +234,7 @@
   TimePoint m_Now{1h};
   std::vector<BenchVm> m_Vms;
   std::map<std::string, size_t> m_Index;
-  std::vector<platform::VmRecord> m_List;
+  std::vector<store::VmRecord> m_List;
   std::vector<Delivery> m_Queue;
   Totals m_Totals;
 
