Tell of a health check only the VMs that use the server

Causes, from the code paths that grow with the fleet: each VM told every check to all VMs of its data centre (100 x 71 checkers x 25 a second); each VM looked at every server every 40 ms with two look-ups by name; a change of the fleet ranked every server anew against every VM.

Change: servers stand on a ring by their keys, and a VM uses the ten of its data centre and the three beyond that follow its own place. Neighbours on the ring are checked together, and the report of a group goes to the VMs that use one of its servers and to three standbys; to all only where it is a change, the server is cold, or the fleet has fewer than 30 VMs. Duties are ranked once for a group, and a tick walks checks and servers side by side.

Ruled out: disjoint shards (no load could pass between them), windows by index (a server that goes would move every VM's window; on a ring by keys it moves only those that used it, and a test checks that).

Tests: what one VM hears stays under the groups of its own servers at 97, 300 and 580 VMs; standbys are the next in rank on all VMs.

--- a/libs/fleet/include/hyssopcross/fleet/Membership.h
+++ b/libs/fleet/include/hyssopcross/fleet/Membership.h
@@ -25,6 +25,9 @@
   Duration m_ForgetAfter = std::chrono::seconds(120);
   /// Servers of a data centre for each VM that checks them.
   uint32_t m_ServersPerChecker = 14;
+  /// VMs of a large fleet that hear of every check beside those that use the
+  /// server, and step in when the checker falls silent: two may fail at once.
+  uint32_t m_CheckStandbys = 3;
   /// VMs that follow the store, each in a data centre of its own where there
   /// are as many. With three, two may fail at once.
   uint32_t m_Followers = 3;
@@ -162,25 +165,51 @@
 /// to 1 and picks among equals. Null if there is none.
 const Peer *tablesSource(const Fleet &Of, double Draw);
 
-/// How many servers of a service are in service, in all and in each data
-/// centre.
-struct ServiceCounts {
-  std::map<std::string, uint32_t, std::less<>> m_InDataCentre;
-  uint32_t m_Total = 0;
+/// The places of a service's servers on a ring, sorted. A server's place
+/// follows from its id alone, so one that comes or goes moves no other.
+struct ServiceRing {
+  std::vector<uint32_t> m_All;
+  std::map<std::string, std::vector<uint32_t>, std::less<>> m_InDataCentre;
+  /// For each data centre that has any: the servers of the others.
+  std::map<std::string, std::vector<uint32_t>, std::less<>> m_Elsewhere;
 };
-using CountsByService = std::map<std::string, ServiceCounts, std::less<>>;
+using RingsByService = std::map<std::string, ServiceRing, std::less<>>;
 
-/// Counts the servers of each service. Those that can get nothing do not
-/// count: a VM whose data centre is out then uses as many others instead.
-CountsByService countServers(const dispatch::ServerView &View);
+/// Places the servers of each service. Those that can get nothing have no
+/// place: a VM whose data centre is out then uses as many others instead.
+RingsByService placeServers(const dispatch::ServerView &View);
 
-/// Whether a VM sends to a server, by a hash that all VMs compute alike: each
-/// VM uses some ten servers of a service, and only the VMs that use a server
-/// need to know what is in flight there.
+/// Whether a VM sends to a server. All VMs compute it alike: each uses the ten
+/// servers of its data centre and the three beyond it that follow its own place
+/// on the ring, and only the VMs that use a server need to know what is in
+/// flight there. VMs of neighbouring places share most of their servers, so
+/// what is told of neighbouring servers goes to few VMs.
 bool usesServer(std::string_view VmHost, std::string_view VmDataCentre,
-                const dispatch::Server &Of, const ServiceCounts &Counts,
+                const dispatch::Server &Of, const ServiceRing &Ring,
                 const FleetPolicy &Policy);
 
+/// How many servers are listed, for sizing the groups in which they are
+/// checked.
+struct CheckGroups {
+  /// By data centre and service.
+  std::map<std::pair<std::string, std::string>, uint32_t> m_Listed;
+  /// By data centre: servers of services of which a VM uses all there are.
+  std::map<std::string, uint32_t> m_Common;
+};
+CheckGroups groupServers(const dispatch::ServerView &View,
+                         const FleetPolicy &Policy);
+
+/// The duty to check a server, together with some others: its neighbours on the
+/// ring, which the same VMs use; or, where all VMs of a data centre use a
+/// service's servers, any others like it.
+std::string checkDuty(const dispatch::Server &Of, const CheckGroups &Groups,
+                      const FleetPolicy &Policy);
+
+/// The hosts of the first Count other VMs in the order of dutyRank.
+std::vector<std::string> dutyStandbys(const Fleet &Of, std::string_view Duty,
+                                      std::string_view DataCentre,
+                                      size_t Count);
+
 /// The hosts to name to a caller of a data centre: the ready VMs there, or all
 /// ready ones if fewer than MinLocal are left. At most Limit.
 std::vector<std::string> hostsForCaller(const Fleet &Of,
--- a/libs/fleet/src/Membership.cpp
+++ b/libs/fleet/src/Membership.cpp
@@ -1,5 +1,6 @@
 #include "hyssopcross/fleet/Membership.h"
 #include <algorithm>
+#include <iterator>
 
 namespace hyssopcross::fleet {
 
@@ -15,9 +16,31 @@
   return Value ^ (Value >> 31);
 }
 
-uint64_t dutyScore(std::string_view Duty, std::string_view Host) {
-  return mix((static_cast<uint64_t>(dispatch::serverKey(Duty)) << 32) |
-             dispatch::serverKey(Host));
+/// Two keys as one well mixed value.
+uint64_t mixed(uint32_t First, uint32_t Second) {
+  return mix((static_cast<uint64_t>(First) << 32) | Second);
+}
+
+uint64_t dutyScore(uint32_t DutyKey, std::string_view Host) {
+  return mixed(DutyKey, dispatch::serverKey(Host));
+}
+
+/// A server's place on its service's ring.
+uint32_t ringPlace(const dispatch::Server &Of) {
+  return static_cast<uint32_t>(mix(Of.m_Key) >> 32);
+}
+
+/// Whether Place is among the Wanted places of a ring that follow Start.
+bool isWithin(const std::vector<uint32_t> &Ring, uint32_t Start, uint32_t Place,
+              size_t Wanted) {
+  size_t Count = Ring.size();
+  if (Count <= Wanted)
+    return true;
+  auto IndexOf = [&Ring](uint32_t Value) {
+    return static_cast<size_t>(
+        std::lower_bound(Ring.begin(), Ring.end(), Value) - Ring.begin());
+  };
+  return (IndexOf(Place) + Count - IndexOf(Start)) % Count < Wanted;
 }
 
 /// Order in which VMs take on a duty; smaller goes first.
@@ -43,10 +66,10 @@
   return Largest;
 }
 
-DutyOrder dutyOrder(const VmInfo &Vm, std::string_view Duty,
+DutyOrder dutyOrder(const VmInfo &Vm, uint32_t DutyKey,
                     std::string_view DataCentre, uint32_t Largest) {
   return {Vm.m_Leaving, Vm.m_DataCentre != DataCentre,
-          Vm.m_MilliCores * 2 < Largest, dutyScore(Duty, Vm.m_Host)};
+          Vm.m_MilliCores * 2 < Largest, dutyScore(DutyKey, Vm.m_Host)};
 }
 
 bool isFreshFollower(const Peer &Of, const FleetPolicy &Policy, TimePoint Now) {
@@ -162,23 +185,46 @@
 uint32_t dutyRank(const Fleet &Of, std::string_view Duty,
                   std::string_view DataCentre) {
   uint32_t Largest = largestVm(Of);
-  DutyOrder Own = dutyOrder(Of.m_Self, Duty, DataCentre, Largest);
+  uint32_t DutyKey = dispatch::serverKey(Duty);
+  DutyOrder Own = dutyOrder(Of.m_Self, DutyKey, DataCentre, Largest);
   uint32_t Rank = 0;
   for (const auto &[Host, Known] : Of.m_Peers)
     if (Known.m_Alive &&
-        dutyOrder(Known.m_Info, Duty, DataCentre, Largest) < Own)
+        dutyOrder(Known.m_Info, DutyKey, DataCentre, Largest) < Own)
       ++Rank;
   return Rank;
 }
 
+std::vector<std::string> dutyStandbys(const Fleet &Of, std::string_view Duty,
+                                      std::string_view DataCentre,
+                                      size_t Count) {
+  uint32_t Largest = largestVm(Of);
+  uint32_t DutyKey = dispatch::serverKey(Duty);
+  std::vector<std::pair<DutyOrder, std::string_view>> Others;
+  for (const auto &[Host, Known] : Of.m_Peers)
+    if (Known.m_Alive)
+      Others.emplace_back(dutyOrder(Known.m_Info, DutyKey, DataCentre, Largest),
+                          Host);
+  size_t Kept = std::min(Count, Others.size());
+  std::partial_sort(
+      Others.begin(), Others.begin() + static_cast<std::ptrdiff_t>(Kept),
+      Others.end(),
+      [](const auto &A, const auto &B) { return A.first < B.first; });
+  std::vector<std::string> Hosts;
+  for (size_t I = 0; I < Kept; ++I)
+    Hosts.emplace_back(Others[I].second);
+  return Hosts;
+}
+
 bool isFollower(const Fleet &Of, const FleetPolicy &Policy) {
   if (Of.m_Self.m_Leaving)
     return false;
+  const uint32_t FollowKey = dispatch::serverKey("follow");
   // The data centres with living VMs, in an order that all VMs share.
   std::vector<std::pair<uint64_t, std::string_view>> DataCentres;
   auto Note = [&](const VmInfo &Vm) {
     std::pair<uint64_t, std::string_view> Each(
-        dutyScore("follow", Vm.m_DataCentre), Vm.m_DataCentre);
+        dutyScore(FollowKey, Vm.m_DataCentre), Vm.m_DataCentre);
     bool IsNew = std::find(DataCentres.begin(), DataCentres.end(), Each) ==
                  DataCentres.end();
     if (IsNew && !Vm.m_Leaving)
@@ -247,35 +293,78 @@
   return Best[std::min(Index, Best.size() - 1)];
 }
 
-CountsByService countServers(const dispatch::ServerView &View) {
-  CountsByService Counts;
+RingsByService placeServers(const dispatch::ServerView &View) {
+  RingsByService Rings;
   for (const auto &[Id, Of] : View.m_Servers) {
-    ServiceCounts &Service = Counts[Of.m_Record.m_Service];
+    ServiceRing &Ring = Rings[Of.m_Record.m_Service];
     if (!dispatch::isInService(View, Of))
       continue;
-    ++Service.m_Total;
-    ++Service.m_InDataCentre[Of.m_Record.m_DataCentre];
+    uint32_t Place = ringPlace(Of);
+    Ring.m_All.push_back(Place);
+    Ring.m_InDataCentre[Of.m_Record.m_DataCentre].push_back(Place);
+  }
+  for (auto &[Service, Ring] : Rings) {
+    std::sort(Ring.m_All.begin(), Ring.m_All.end());
+    for (auto &[DataCentre, Places] : Ring.m_InDataCentre) {
+      std::sort(Places.begin(), Places.end());
+      std::set_difference(Ring.m_All.begin(), Ring.m_All.end(), Places.begin(),
+                          Places.end(),
+                          std::back_inserter(Ring.m_Elsewhere[DataCentre]));
+    }
   }
-  return Counts;
+  return Rings;
 }
 
 bool usesServer(std::string_view VmHost, std::string_view VmDataCentre,
-                const dispatch::Server &Of, const ServiceCounts &Counts,
+                const dispatch::Server &Of, const ServiceRing &Ring,
                 const FleetPolicy &Policy) {
-  auto Found = Counts.m_InDataCentre.find(VmDataCentre);
-  uint32_t Local = Found == Counts.m_InDataCentre.end() ? 0 : Found->second;
-  uint32_t Remote = Counts.m_Total - std::min(Local, Counts.m_Total);
-  bool IsLocal = Of.m_Record.m_DataCentre == VmDataCentre;
-  uint32_t Missing =
-      Policy.m_LocalServers - std::min(Local, Policy.m_LocalServers);
-  double Wanted =
-      IsLocal ? Policy.m_LocalServers : Policy.m_RemoteServers + Missing;
-  double Share = Wanted / std::max(1U, IsLocal ? Local : Remote);
-  if (Share >= 1)
-    return true;
-  uint64_t Hash = mix(
-      (static_cast<uint64_t>(dispatch::serverKey(VmHost)) << 32) | Of.m_Key);
-  return static_cast<double>(Hash >> 11) < Share * 0x1p53;
+  static const std::vector<uint32_t> None;
+  auto Found = Ring.m_InDataCentre.find(VmDataCentre);
+  const auto &Local = Found == Ring.m_InDataCentre.end() ? None : Found->second;
+  uint64_t Start = mixed(dispatch::serverKey(VmHost),
+                         dispatch::serverKey(Of.m_Record.m_Service));
+  if (Of.m_Record.m_DataCentre == VmDataCentre)
+    return isWithin(Local, static_cast<uint32_t>(Start >> 32), ringPlace(Of),
+                    Policy.m_LocalServers);
+  auto Others = Ring.m_Elsewhere.find(VmDataCentre);
+  const auto &Remote =
+      Others == Ring.m_Elsewhere.end() ? Ring.m_All : Others->second;
+  size_t Missing = Policy.m_LocalServers -
+                   std::min<size_t>(Local.size(), Policy.m_LocalServers);
+  return isWithin(Remote, static_cast<uint32_t>(Start), ringPlace(Of),
+                  Policy.m_RemoteServers + Missing);
+}
+
+CheckGroups groupServers(const dispatch::ServerView &View,
+                         const FleetPolicy &Policy) {
+  CheckGroups Groups;
+  for (const auto &[Id, Of] : View.m_Servers)
+    ++Groups.m_Listed[{Of.m_Record.m_DataCentre, Of.m_Record.m_Service}];
+  for (const auto &[Of, Count] : Groups.m_Listed)
+    if (Count <= Policy.m_LocalServers)
+      Groups.m_Common[Of.first] += Count;
+  return Groups;
+}
+
+std::string checkDuty(const dispatch::Server &Of, const CheckGroups &Groups,
+                      const FleetPolicy &Policy) {
+  const dispatch::ServerRecord &Record = Of.m_Record;
+  auto GroupsOf = [&Policy](uint32_t Servers) {
+    return (Servers + Policy.m_ServersPerChecker - 1) /
+           Policy.m_ServersPerChecker;
+  };
+  auto Known = Groups.m_Listed.find({Record.m_DataCentre, Record.m_Service});
+  uint32_t Listed = Known == Groups.m_Listed.end() ? 0 : Known->second;
+  if (Listed > Policy.m_LocalServers) {
+    uint64_t Group =
+        (static_cast<uint64_t>(ringPlace(Of)) * GroupsOf(Listed)) >> 32;
+    return "check/" + Record.m_DataCentre + "/" + Record.m_Service + "/" +
+           std::to_string(Group);
+  }
+  auto Common = Groups.m_Common.find(Record.m_DataCentre);
+  uint32_t Count = Common == Groups.m_Common.end() ? 1 : Common->second;
+  return "check/" + Record.m_DataCentre + "/" +
+         std::to_string(Of.m_Key % GroupsOf(Count));
 }
 
 std::vector<std::string> hostsForCaller(const Fleet &Of,
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -41,6 +41,22 @@
   return Made;
 }
 
+/// Servers of some services, dealt out to the services and then to the data
+/// centres in turn.
+dispatch::ServerView serversOf(const std::vector<std::string> &Services,
+                               uint32_t Count, uint32_t DataCentres) {
+  dispatch::ServerView View;
+  for (uint32_t I = 0; I < Count; ++I) {
+    dispatch::ServerRecord Record;
+    Record.m_Service = Services[I % Services.size()];
+    Record.m_Id = Record.m_Service + std::to_string(I);
+    Record.m_DataCentre =
+        "dc" + std::to_string(I / Services.size() % DataCentres);
+    dispatch::upsertServer(View, Record, Start);
+  }
+  return View;
+}
+
 } // namespace
 
 TEST_CASE("each duty has one holder, in its data centre, whoever looks") {
@@ -180,6 +196,76 @@
   CHECK(noteSequence(View, "10.0.0.1", 1, 8, Start));
 }
 
+TEST_CASE("a server that goes moves only the VMs that used it") {
+  std::vector<VmInfo> Vms = vms(300, 3);
+  dispatch::ServerView Before = serversOf({"service"}, 300, 3);
+  dispatch::ServerView After = Before;
+  dispatch::removeServer(After, "service7");
+  RingsByService Old = placeServers(Before);
+  RingsByService New = placeServers(After);
+  const FleetPolicy Policy;
+  for (const VmInfo &Vm : Vms) {
+    auto Uses = [&](const RingsByService &Rings, const dispatch::Server &Of) {
+      return usesServer(Vm.m_Host, Vm.m_DataCentre, Of, Rings.at("service"),
+                        Policy);
+    };
+    bool UsedIt = Uses(Old, Before.m_Servers.at("service7"));
+    uint32_t Changed = 0;
+    for (const auto &[Id, Of] : After.m_Servers)
+      Changed += Uses(Old, Of) != Uses(New, Of) ? 1 : 0;
+    CHECK(Changed == (UsedIt ? 1 : 0));
+  }
+}
+
+TEST_CASE("what is told of a group of servers goes to few VMs") {
+  // The load of one VM with the size of the fleet: its datagrams about checks
+  // are those of the groups whose servers it uses, and do not grow.
+  struct Case {
+    uint32_t m_Vms;
+    uint32_t m_Servers;
+  };
+  const Case Cases[] = {{97, 266}, {300, 3000}, {580, 5800}};
+  // Four services, and at the edges of its place a VM uses parts of two groups.
+  constexpr double MostGroups = 4 * 2;
+  const FleetPolicy Policy;
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Vms);
+    std::vector<VmInfo> Vms = vms(Each.m_Vms, 3);
+    dispatch::ServerView View =
+        serversOf({"a", "b", "c", "d"}, Each.m_Servers, 3);
+    RingsByService Rings = placeServers(View);
+    CheckGroups Groups = groupServers(View, Policy);
+    double Sum = 0;
+    for (const VmInfo &Vm : Vms) {
+      std::set<std::string> Heard;
+      for (const auto &[Id, Of] : View.m_Servers)
+        if (Of.m_Record.m_DataCentre == Vm.m_DataCentre &&
+            usesServer(Vm.m_Host, Vm.m_DataCentre, Of,
+                       Rings.at(Of.m_Record.m_Service), Policy))
+          Heard.insert(checkDuty(Of, Groups, Policy));
+      Sum += static_cast<double>(Heard.size());
+    }
+    CHECK(Sum / Each.m_Vms <= MostGroups);
+  }
+}
+
+TEST_CASE("standbys are the VMs that follow in rank") {
+  std::vector<VmInfo> Vms = vms(12, 3);
+  for (size_t I = 0; I < Vms.size(); ++I) {
+    Fleet View = seenBy(Vms, I);
+    if (dutyRank(View, "duty", "dc1") != 0)
+      continue;
+    std::vector<std::string> Standbys = dutyStandbys(View, "duty", "dc1", 3);
+    REQUIRE(Standbys.size() == 3);
+    for (size_t J = 0; J < Vms.size(); ++J) {
+      uint32_t Rank = dutyRank(seenBy(Vms, J), "duty", "dc1");
+      if (Rank >= 1 && Rank <= 3)
+        CHECK(Standbys[Rank - 1] == Vms[J].m_Host);
+    }
+  }
+  CHECK(dutyStandbys(seenBy(vms(2, 1), 0), "duty", "dc0", 3).size() == 1);
+}
+
 TEST_CASE("every VM uses enough servers, and a large fleet's not all") {
   struct Case {
     uint32_t m_Servers;
@@ -193,24 +279,18 @@
   for (const Case &Each : Cases) {
     CAPTURE(Each.m_Servers);
     std::vector<VmInfo> Vms = vms(97, Each.m_DataCentres);
-    ServiceCounts Counts;
-    std::vector<dispatch::Server> Servers(Each.m_Servers);
-    for (uint32_t I = 0; I < Each.m_Servers; ++I) {
-      Servers[I].m_Key = dispatch::serverKey("server" + std::to_string(I));
-      Servers[I].m_Record.m_DataCentre =
-          "dc" + std::to_string(I % Each.m_DataCentres);
-      ++Counts.m_Total;
-      ++Counts.m_InDataCentre[Servers[I].m_Record.m_DataCentre];
-    }
+    dispatch::ServerView View =
+        serversOf({"service"}, Each.m_Servers, Each.m_DataCentres);
+    RingsByService Rings = placeServers(View);
     double Sum = 0;
     uint32_t Fewest = Each.m_Servers;
     for (const VmInfo &Vm : Vms) {
       uint32_t Used = 0;
-      for (const dispatch::Server &Of : Servers)
-        Used +=
-            usesServer(Vm.m_Host, Vm.m_DataCentre, Of, Counts, FleetPolicy())
-                ? 1
-                : 0;
+      for (const auto &[Id, Of] : View.m_Servers)
+        Used += usesServer(Vm.m_Host, Vm.m_DataCentre, Of, Rings.at("service"),
+                           FleetPolicy())
+                    ? 1
+                    : 0;
       Sum += Used;
       Fewest = std::min(Fewest, Used);
     }
@@ -386,7 +466,7 @@
             dispatch::LoadReport::Health::Unreachable;
     }
     dispatch::setDataCentreOut(View, "dc0", Each.m_IsOut);
-    CountsByService Counts = countServers(View);
+    RingsByService Rings = placeServers(View);
     uint32_t Used = 0;
     uint32_t There = 0;
     for (const VmInfo &Vm : Vms) {
@@ -396,7 +476,7 @@
       for (const auto &[Id, Of] : View.m_Servers)
         Used += dispatch::isInService(View, Of) &&
                         usesServer(Vm.m_Host, Vm.m_DataCentre, Of,
-                                   Counts.at("service"), Policy)
+                                   Rings.at("service"), Policy)
                     ? 1
                     : 0;
     }
--- a/libs/gateway/src/FleetHost.cpp
+++ b/libs/gateway/src/FleetHost.cpp
@@ -233,8 +233,10 @@
   }
 }
 
-void FleetHost::tellChecked(const dispatch::Server &Of) {
-  m_CheckedToTell.insert(Of.m_Record.m_Id);
+void FleetHost::tellChecked(const CheckNews &News) {
+  m_CheckedToTell.insert(News.m_Server.m_Record.m_Id);
+  m_CheckStandbys.insert(News.m_Standbys.begin(), News.m_Standbys.end());
+  m_CheckedChange = m_CheckedChange || News.m_IsChange;
   scheduleChecked();
 }
 
@@ -301,31 +303,39 @@
 
 void FleetHost::sendChecked() {
   fleet::Datagram News = newDatagram();
+  std::set<std::string> Users = std::move(m_CheckStandbys);
   auto &Servers = m_State.m_Servers.m_Servers;
   for (const std::string &Id : m_CheckedToTell) {
     auto Found = Servers.find(Id);
-    if (Found != Servers.end())
-      News.m_Reports.push_back({Found->second.m_Key, Found->second.m_Report});
+    if (Found == Servers.end())
+      continue;
+    News.m_Reports.push_back({Found->second.m_Key, Found->second.m_Report});
+    const std::vector<std::string> &Hosts = usersOf(Found->second);
+    Users.insert(Hosts.begin(), Hosts.end());
   }
   m_CheckedToTell.clear();
+  m_CheckStandbys.clear();
   std::string Bytes = fleet::encodeDatagram(News);
-  // VMs of other data centres send here less, and hear of it less often the
-  // more of them there are.
-  const auto &Peers = m_State.m_Fleet.m_Peers;
-  const std::string &Own = m_State.m_Settings.m_DataCentre;
-  uint64_t Remote = 0;
-  for (const auto &[Host, Known] : Peers)
-    Remote += Known.m_Alive && Known.m_Info.m_DataCentre != Own ? 1 : 0;
-  uint64_t Turns = 1 + Remote / m_State.m_Settings.m_Fleeting.m_RemoteReceivers;
-  uint64_t Turn = m_CheckedBatches++ % Turns;
-  uint64_t Place = 0;
-  for (const auto &[Host, Known] : Peers) {
-    if (!Known.m_Alive)
+  if (std::exchange(m_CheckedChange, false))
+    return sendToAll(Bytes);
+  const fleet::FleetPolicy &Policy = m_State.m_Settings.m_Fleeting;
+  bool IsSmall = !fleet::isLarge(m_State.m_Fleet, Policy);
+  std::vector<std::string_view> Remote;
+  for (const auto &[Host, Known] : m_State.m_Fleet.m_Peers) {
+    if (!Known.m_Alive || !(IsSmall || Users.count(Host)))
       continue;
-    bool IsRemote = Known.m_Info.m_DataCentre != Own;
-    if (!IsRemote || Place++ % Turns == Turn)
+    if (Known.m_Info.m_DataCentre == m_State.m_Settings.m_DataCentre)
       send(Bytes, Host);
+    else
+      Remote.push_back(Host);
   }
+  // VMs of other data centres send here less, and hear of it less often the
+  // more of them there are.
+  uint64_t Turns = 1 + Remote.size() / Policy.m_RemoteReceivers;
+  uint64_t Turn = m_CheckedBatches++ % Turns;
+  for (size_t I = 0; I < Remote.size(); ++I)
+    if (I % Turns == Turn)
+      send(Bytes, std::string(Remote[I]));
 }
 
 void FleetHost::sendNews() {
@@ -364,12 +374,10 @@
     return Known.m_Hosts;
   Known.m_Version = Version;
   Known.m_Hosts.clear();
-  const fleet::ServiceCounts &Counts =
-      m_State.m_ServiceCounts[Of.m_Record.m_Service];
+  const fleet::ServiceRing &Ring = m_State.m_Rings[Of.m_Record.m_Service];
   for (const auto &[Host, Peer] : m_State.m_Fleet.m_Peers)
-    if (Peer.m_Alive &&
-        fleet::usesServer(Host, Peer.m_Info.m_DataCentre, Of, Counts,
-                          m_State.m_Settings.m_Fleeting))
+    if (Peer.m_Alive && fleet::usesServer(Host, Peer.m_Info.m_DataCentre, Of,
+                                          Ring, m_State.m_Settings.m_Fleeting))
       Known.m_Hosts.push_back(Host);
   return Known.m_Hosts;
 }
--- a/libs/gateway/src/FleetHost.h
+++ b/libs/gateway/src/FleetHost.h
@@ -1,6 +1,7 @@
 #ifndef HYSSOPCROSS_GATEWAY_SRC_FLEETHOST_H
 #define HYSSOPCROSS_GATEWAY_SRC_FLEETHOST_H
 
+#include "HealthHost.h"
 #include "NodeState.h"
 #include "hyssopcross/fleet/Datagram.h"
 #include <array>
@@ -33,8 +34,10 @@
   void greet(const std::string &Host);
   /// Tells all VMs how this one is now, without waiting for the next heartbeat.
   void announce();
-  /// Queues the result of a health check for the next datagram to all VMs.
-  void tellChecked(const dispatch::Server &Of);
+  /// Queues the result of a health check for the next datagram to the VMs that
+  /// use the server, and to its standbys; to all in a fleet that is not large,
+  /// or if it is a change.
+  void tellChecked(const CheckNews &News);
   /// Queues what an answer told, and what is in flight, for the next datagram
   /// to the VMs that use the server.
   void tellAnswered(const dispatch::Server &Of);
@@ -78,6 +81,10 @@
   bool m_CheckedScheduled = false;
   bool m_NewsScheduled = false;
   std::set<std::string> m_CheckedToTell;
+  /// Hear of the next batch whether they use its servers or not.
+  std::set<std::string> m_CheckStandbys;
+  /// The next batch holds news that all VMs need.
+  bool m_CheckedChange = false;
   /// What users of a server are told beside the requests in flight.
   struct ServerNews {
     bool m_WithReport = false;
--- a/libs/gateway/src/HealthHost.cpp
+++ b/libs/gateway/src/HealthHost.cpp
@@ -30,17 +30,23 @@
 
 void HealthHost::start() { tick(); }
 
-uint32_t HealthHost::rankFor(const dispatch::Server &Of, Check &Mine) {
-  if (Mine.m_RankedFleet == m_State.m_Fleet.m_Version)
-    return Mine.m_Rank;
-  const std::string &DataCentre = Of.m_Record.m_DataCentre;
-  uint32_t Share = m_State.m_Settings.m_Fleeting.m_ServersPerChecker;
-  uint32_t Groups = std::max(1U, (m_ServersIn[DataCentre] + Share - 1) / Share);
-  std::string Duty =
-      "check/" + DataCentre + "/" + std::to_string(Of.m_Key % Groups);
-  Mine.m_Rank = fleet::dutyRank(m_State.m_Fleet, Duty, DataCentre);
-  Mine.m_RankedFleet = m_State.m_Fleet.m_Version;
-  return Mine.m_Rank;
+const HealthHost::Duty &HealthHost::dutyFor(const dispatch::Server &Of,
+                                            Check &Mine) {
+  const fleet::Fleet &Fleet = m_State.m_Fleet;
+  const fleet::FleetPolicy &Policy = m_State.m_Settings.m_Fleeting;
+  if (std::exchange(m_DutiesVersion, Fleet.m_Version) != Fleet.m_Version)
+    m_Duties.clear();
+  if (Mine.m_Duty.empty())
+    Mine.m_Duty = fleet::checkDuty(Of, m_Groups, Policy);
+  auto [Known, IsNew] = m_Duties.try_emplace(Mine.m_Duty);
+  if (IsNew) {
+    const std::string &DataCentre = Of.m_Record.m_DataCentre;
+    Known->second.m_Rank = fleet::dutyRank(Fleet, Mine.m_Duty, DataCentre);
+    if (Known->second.m_Rank == 0)
+      Known->second.m_Standbys = fleet::dutyStandbys(
+          Fleet, Mine.m_Duty, DataCentre, Policy.m_CheckStandbys);
+  }
+  return Known->second;
 }
 
 bool HealthHost::ownsWarmup(const dispatch::Server &Of) {
@@ -60,41 +66,55 @@
   // The timer fires a little early or late.
   if (Now - Mine.m_StartedAt < Interval * 9 / 10)
     return false;
-  uint32_t Rank = rankFor(Of, Mine);
+  uint32_t Rank = dutyFor(Of, Mine).m_Rank;
   if (Rank == 0)
     return true;
+  // Silence tells nothing to a VM that does not hear of the checks.
+  const fleet::FleetPolicy &Fleeting = m_State.m_Settings.m_Fleeting;
+  bool Hears = Of.m_IsCandidate || Rank <= Fleeting.m_CheckStandbys ||
+               !fleet::isLarge(m_State.m_Fleet, Fleeting);
+  if (!Hears)
+    return false;
   return Now - dispatch::silentSince(Of) > TakeoverTime * Rank + Interval;
 }
 
+void HealthHost::regroup() {
+  m_GroupedVersion = m_State.m_ServersVersion;
+  m_Groups =
+      fleet::groupServers(m_State.m_Servers, m_State.m_Settings.m_Fleeting);
+  refreshCandidates(m_State);
+  for (auto Each = m_Checks.begin(); Each != m_Checks.end();)
+    if (m_State.m_Servers.m_Servers.count(Each->first)) {
+      Each->second.m_Duty.clear();
+      ++Each;
+    } else {
+      if (Each->second.m_Call)
+        Each->second.m_Call->cancel();
+      Each = m_Checks.erase(Each);
+    }
+}
+
 void HealthHost::tick() {
   TimePoint Now = m_State.now();
-  if (m_CountedVersion != m_State.m_ServersVersion) {
-    m_CountedVersion = m_State.m_ServersVersion;
-    m_ServersIn.clear();
-    refreshCandidates(m_State);
-    for (const auto &[Id, Of] : m_State.m_Servers.m_Servers)
-      ++m_ServersIn[Of.m_Record.m_DataCentre];
-    for (auto Each = m_Checks.begin(); Each != m_Checks.end();)
-      if (m_State.m_Servers.m_Servers.count(Each->first)) {
-        Each->second.m_RankedFleet = 0;
-        ++Each;
-      } else {
-        if (Each->second.m_Call)
-          Each->second.m_Call->cancel();
-        Each = m_Checks.erase(Each);
-      }
-  }
+  if (m_GroupedVersion != m_State.m_ServersVersion)
+    regroup();
   std::vector<std::string> Late;
+  // Checks and servers are in the same order, so no server is looked up.
+  auto Next = m_Checks.begin();
   for (auto &[Id, Of] : m_State.m_Servers.m_Servers) {
-    const auto *Service = m_State.serviceSettings(Of.m_Record.m_Service);
-    Check &Mine = m_Checks[Id];
+    if (Next == m_Checks.end() || Next->first != Id)
+      Next = m_Checks.emplace_hint(Next, Id, Check());
+    Check &Mine = Next->second;
+    ++Next;
     if (Mine.m_Call) {
       Duration Allowed = Mine.m_TellsLoad ? CheckTimeout : CostlyTimeout;
       if (Now - Mine.m_StartedAt > Allowed)
         Late.push_back(Id);
       continue;
     }
-    if (Service && isDue(Of, Mine, Now))
+    if (!isDue(Of, Mine, Now))
+      continue;
+    if (const auto *Service = m_State.serviceSettings(Of.m_Record.m_Service))
       begin(Of, Mine, *Service);
   }
   for (const std::string &Id : Late) {
@@ -182,7 +202,9 @@
               {"health", static_cast<int>(Report.m_Health)},
               {"cold_ms", toMillis(Report.m_ColdFor)},
               {"slowdown_pct", Report.m_SlowdownPercent}});
-  m_Handler(Of);
+  // A cold server is used by one VM, which need not use it later.
+  bool IsForAll = Changed || Report.m_ColdFor > Duration(0);
+  m_Handler({Of, dutyFor(Of, m_Checks[Of.m_Record.m_Id]).m_Standbys, IsForAll});
 }
 
 } // namespace hyssopcross::gateway
--- a/libs/gateway/src/HealthHost.h
+++ b/libs/gateway/src/HealthHost.h
@@ -8,12 +8,21 @@
 
 namespace hyssopcross::gateway {
 
+/// What a health check found.
+struct CheckNews {
+  /// With the new report in place.
+  dispatch::Server &m_Server;
+  /// VMs that hear of it whether they use the server or not.
+  const std::vector<std::string> &m_Standbys;
+  /// All VMs need to know.
+  bool m_IsChange = false;
+};
+
 /// Checks the health of the servers that are this VM's to check. For each
 /// server one VM checks; the next in rank steps in when its reports stay away.
 class HealthHost {
 public:
-  /// Called after each check, with the new report in place.
-  using Checked = std::function<void(dispatch::Server &)>;
+  using Checked = std::function<void(const CheckNews &)>;
 
   HealthHost(NodeState &State, Checked Handler);
   void start();
@@ -29,13 +38,22 @@
     /// Its health endpoint answers at once and tells its load. Otherwise a
     /// check takes a slot, and may wait for one.
     bool m_TellsLoad = true;
+    /// Which duty the check belongs to; empty until it is looked up.
+    std::string m_Duty;
+  };
+
+  /// A duty as this VM sees it.
+  struct Duty {
     uint32_t m_Rank = 0;
-    uint64_t m_RankedFleet = 0;
+    /// The VMs that follow the one whose duty it is.
+    std::vector<std::string> m_Standbys;
   };
 
   void tick();
   bool isDue(const dispatch::Server &Of, Check &Mine, TimePoint Now);
-  uint32_t rankFor(const dispatch::Server &Of, Check &Mine);
+  const Duty &dutyFor(const dispatch::Server &Of, Check &Mine);
+  /// Takes in which servers there are now.
+  void regroup();
   void begin(const dispatch::Server &Of, Check &Mine,
              const routing::ServiceSettings &Service);
   void ended(const std::string &Id, const http::ExchangeResult &Result);
@@ -46,9 +64,11 @@
   Checked m_Handler;
   boost::asio::steady_timer m_Timer;
   std::map<std::string, Check> m_Checks;
-  /// Servers listed in each data centre, for sizing the checkers' shares.
-  std::map<std::string, uint32_t> m_ServersIn;
-  uint64_t m_CountedVersion = 0;
+  fleet::CheckGroups m_Groups;
+  uint64_t m_GroupedVersion = 0;
+  /// As of a version of the fleet.
+  std::map<std::string, Duty> m_Duties;
+  uint64_t m_DutiesVersion = 0;
 };
 
 } // namespace hyssopcross::gateway
--- a/libs/gateway/src/Node.cpp
+++ b/libs/gateway/src/Node.cpp
@@ -47,9 +47,9 @@
                           },
                           [this] { return m_Discovery.ownFollowing(); }}),
         m_Health(m_State,
-                 [this](dispatch::Server &Of) {
-                   m_Fleet.tellChecked(Of);
-                   serverNews(Of);
+                 [this](const CheckNews &News) {
+                   m_Fleet.tellChecked(News);
+                   serverNews(News.m_Server);
                  }),
         m_Calls(m_State, m_Fleet, m_Health),
         m_Discovery(m_State, m_Fleet, [this] { configurationChanged(); }),
--- a/libs/gateway/src/NodeState.cpp
+++ b/libs/gateway/src/NodeState.cpp
@@ -3,13 +3,12 @@
 namespace hyssopcross::gateway {
 
 void refreshCandidates(NodeState &State) {
-  State.m_ServiceCounts = fleet::countServers(State.m_Servers);
+  State.m_Rings = fleet::placeServers(State.m_Servers);
   const fleet::VmInfo &Self = State.m_Fleet.m_Self;
   for (auto &[Id, Of] : State.m_Servers.m_Servers)
-    Of.m_IsCandidate =
-        fleet::usesServer(Self.m_Host, Self.m_DataCentre, Of,
-                          State.m_ServiceCounts[Of.m_Record.m_Service],
-                          State.m_Settings.m_Fleeting);
+    Of.m_IsCandidate = fleet::usesServer(Self.m_Host, Self.m_DataCentre, Of,
+                                         State.m_Rings[Of.m_Record.m_Service],
+                                         State.m_Settings.m_Fleeting);
 }
 
 void noteReport(NodeState &State, dispatch::Server &Of,
--- a/libs/gateway/src/NodeState.h
+++ b/libs/gateway/src/NodeState.h
@@ -48,7 +48,7 @@
   /// goes out of service or comes back.
   uint64_t m_ServersVersion = 1;
   fleet::Fleet m_Fleet;
-  fleet::CountsByService m_ServiceCounts;
+  fleet::RingsByService m_Rings;
   /// Null until the first configuration is known.
   std::shared_ptr<const ConfigurationInForce> m_InForce;
   /// Whether the sources of the operators' table answer at present.
@@ -65,16 +65,17 @@
   double draw() {
     return std::uniform_real_distribution<double>(0, 1)(m_Random);
   }
-  const routing::ServiceSettings *serviceSettings(std::string_view Name) const {
+  const routing::ServiceSettings *
+  serviceSettings(const std::string &Name) const {
     if (!m_InForce)
       return nullptr;
     const auto &Services = m_InForce->m_Configuration.m_Services;
-    auto Found = Services.find(std::string(Name));
+    auto Found = Services.find(Name);
     return Found == Services.end() ? nullptr : &Found->second;
   }
 };
 
-/// Counts the servers of each service anew and marks those that this VM sends
+/// Places the servers of each service anew and marks those that this VM sends
 /// to. Called when m_ServersVersion has grown.
 void refreshCandidates(NodeState &State);
 
