Raise a cold server's limit only once it is as fast as warm ones

Cause: the ramp stepped up after five completions and half a second, and a suspect server after two completions and 50 ms, whatever they took; with exponential work five completions of a server four times slower look warm in one step of nine.

Change: the completions of a step are compared with the mean of warm servers alone; a step takes 16 completions (10 of a suspect server) that took at most 1.5 times as long together, else it starts again. Without a warm server to compare with, count and time decide as before.

The table of the ramp's counts follows the new numbers; the case that must fail with a mechanism off uses the ramp itself for cold-server-ramp, since without the drop nothing goes wrong there any more (cold-without-warning still fails without it).

--- a/libs/balancing/include/hyssopcross/balancing/Policy.h
+++ b/libs/balancing/include/hyssopcross/balancing/Policy.h
@@ -87,7 +87,11 @@
   /// Requests in flight that a cold server can bear.
   uint32_t m_ColdAllowance = 1;
   /// Completions that one step of a cold server's ramp takes.
-  uint32_t m_ColdCompletions = 5;
+  uint32_t m_ColdCompletions = 16;
+  /// A step succeeds if its completions took at most this many times as long as
+  /// those of warm servers. With exponential work, twelve of a server that is
+  /// four times slower pass in 4 of 1000 steps, and of a warm one in 97 of 100.
+  double m_StepLatencyFactor = 1.5;
   /// Least time of one step of a cold server's ramp.
   Duration m_ColdStep = std::chrono::milliseconds(500);
   /// Time between two sends to a cold server, divided by its limit.
@@ -95,7 +99,7 @@
   /// Time between two sends to a cold server while a warm one has a slot free.
   Duration m_ColdExploreSpacing = std::chrono::milliseconds(100);
   /// Completions and least time of one step back after a shed or jump.
-  uint32_t m_SuspectCompletions = 2;
+  uint32_t m_SuspectCompletions = 10;
   Duration m_SuspectStep = std::chrono::milliseconds(50);
   /// How long a server that is no longer listed is remembered.
   Duration m_ForgetAfter = std::chrono::minutes(10);
--- a/libs/balancing/include/hyssopcross/balancing/State.h
+++ b/libs/balancing/include/hyssopcross/balancing/State.h
@@ -36,6 +36,8 @@
   uint32_t m_AssumedInFlight = 0;
   /// Good completions and failures in a row since the limit last changed.
   uint32_t m_StepCompletions = 0;
+  /// Latencies of these completions together.
+  Duration m_StepLatency{};
   uint32_t m_Failures = 0;
   /// Latencies that this process of the server is known by.
   uint32_t m_LatencySamples = 0;
@@ -123,6 +125,8 @@
   std::array<uint32_t, 128> m_Buckets{};
   uint32_t m_Samples = 0;
   Duration m_Mean{};
+  /// Of warm servers alone; zero while none has completed anything.
+  Duration m_WarmMean{};
 };
 
 /// A budget that grows with the calls served.
--- a/libs/balancing/src/Attempts.cpp
+++ b/libs/balancing/src/Attempts.cpp
@@ -25,7 +25,7 @@
     restartStep(Step, Server);
     return;
   }
-  recordGoodCompletion(Step, Server);
+  recordGoodCompletion(Step, Server, Latency);
 }
 
 void countGivenUp(Context &Step, ServerState &Server, Duration Age) {
--- a/libs/balancing/src/Latency.cpp
+++ b/libs/balancing/src/Latency.cpp
@@ -64,6 +64,8 @@
   Server.m_LatencyAt = Step.m_Now;
   LatencyState &Pool = Step.m_State.m_Latency;
   Pool.m_Mean = blend(Pool.m_Mean, Latency, MeanWeight);
+  if (Server.m_Stage == ServerStage::Warm)
+    Pool.m_WarmMean = blend(Pool.m_WarmMean, Latency, MeanWeight);
   addSample(Pool, Latency);
 }
 
--- a/libs/balancing/src/Warmup.cpp
+++ b/libs/balancing/src/Warmup.cpp
@@ -19,9 +19,19 @@
   Server.m_Stage = Stage;
   Server.m_Limit = Limit;
   Server.m_StepCompletions = 0;
+  Server.m_StepLatency = Duration::zero();
   Server.m_StepSince = Step.m_Now;
 }
 
+/// Whether the completions of the step took longer than a warm server's would.
+/// False as long as no warm server is known.
+bool isStillSlow(const Context &Step, const ServerState &Server) {
+  Duration Warm = Step.m_State.m_Latency.m_WarmMean;
+  return Warm > Duration::zero() &&
+         Server.m_StepLatency > scale(Warm * Server.m_StepCompletions,
+                                      Step.policy().m_StepLatencyFactor);
+}
+
 } // namespace
 
 void makeCold(Context &Step, ServerState &Server) {
@@ -38,9 +48,11 @@
   startStep(Step, Server, Stage, coldAllowance(Step.m_State));
 }
 
-void recordGoodCompletion(Context &Step, ServerState &Server) {
+void recordGoodCompletion(Context &Step, ServerState &Server,
+                          Duration Latency) {
   Server.m_Failures = 0;
   ++Server.m_StepCompletions;
+  Server.m_StepLatency += Latency;
   if (Server.m_Stage == ServerStage::Warm)
     return;
   const PoolPolicy &Policy = Step.policy();
@@ -51,6 +63,10 @@
   if (Server.m_StepCompletions < Needed ||
       Step.m_Now - Server.m_StepSince < Least)
     return;
+  if (isStillSlow(Step, Server)) {
+    restartStep(Step, Server);
+    return;
+  }
   if (Server.m_Limit < Step.slots()) {
     startStep(Step, Server, Server.m_Stage, Server.m_Limit + 1);
     return;
--- a/libs/balancing/src/Warmup.h
+++ b/libs/balancing/src/Warmup.h
@@ -12,8 +12,9 @@
 /// second time in a row makes it cold.
 void dropToAllowance(Context &Step, ServerState &Server);
 
-/// Counts a good completion, which may raise the server's limit.
-void recordGoodCompletion(Context &Step, ServerState &Server);
+/// Counts a good completion, which may raise the server's limit: only once the
+/// completions of the step are as fast as a warm server's.
+void recordGoodCompletion(Context &Step, ServerState &Server, Duration Latency);
 
 /// Starts the current step of the ramp anew, after a slow completion.
 void restartStep(Context &Step, ServerState &Server);
--- a/libs/balancing/tests/WarmupTest.cpp
+++ b/libs/balancing/tests/WarmupTest.cpp
@@ -13,9 +13,9 @@
     uint32_t m_Limit;
   };
   const Row Rows[] = {
-      {4, 1s, ServerStage::Cold, 1},    {5, 1s, ServerStage::Cold, 2},
-      {10, 1s, ServerStage::Warm, 2},   {12, 20ms, ServerStage::Cold, 1},
-      {40, 20ms, ServerStage::Warm, 2},
+      {15, 1s, ServerStage::Cold, 1},   {16, 1s, ServerStage::Cold, 2},
+      {32, 1s, ServerStage::Warm, 2},   {17, 10ms, ServerStage::Cold, 1},
+      {80, 20ms, ServerStage::Warm, 2},
   };
   for (const Row &Row : Rows) {
     CAPTURE(Row.m_Calls);
@@ -30,6 +30,27 @@
   }
 }
 
+TEST_CASE("a cold server's limit stays while it is slower than warm ones") {
+  // Found in scenarios/cold-server-ramp.yaml: the ramp stepped up by time and
+  // count alone, and a server that took four times as long shed what came.
+  struct Row {
+    Duration m_Latency;
+    uint32_t m_Limit;
+  };
+  const Row Rows[] = {{40ms, 1}, {16ms, 1}, {14ms, 2}, {10ms, 2}};
+  for (const Row &Row : Rows) {
+    CAPTURE(Row.m_Latency.count());
+    Host Host;
+    Host.m_State.m_Latency.m_WarmMean = 10ms;
+    Host.list(1);
+    for (int Index = 0; Index < 20; ++Index) {
+      Host.runCalls(1, Row.m_Latency);
+      Host.m_Now += 100ms;
+    }
+    CHECK(Host.server(1).m_Limit == Row.m_Limit);
+  }
+}
+
 TEST_CASE("a cold server gets one call at a time, spaced") {
   Host Host;
   Host.list(1);
@@ -111,7 +132,7 @@
     CHECK((Host.server(1).m_Limit == 1) == Drops);
     Host.runCalls(3, 60ms);
     CHECK((Host.server(1).m_Limit == 1) == Drops);
-    Host.runCalls(20, 10ms);
+    Host.runCalls(25, 10ms);
     CHECK(Host.server(1).m_Stage == ServerStage::Warm);
     CHECK(Host.server(1).m_Limit == 2);
   }
--- a/libs/scenario/tests/ScenarioTest.cpp
+++ b/libs/scenario/tests/ScenarioTest.cpp
@@ -150,7 +150,7 @@
   };
   const Row Rows[] = {
       {"leaving-server-lagging-list", &PolicySwitches::m_HonourLeaving},
-      {"cold-server-ramp", &PolicySwitches::m_DropOnTrouble},
+      {"cold-server-ramp", &PolicySwitches::m_RampCold},
       {"cold-without-warning", &PolicySwitches::m_DropOnTrouble},
       {"noisy-neighbour", &PolicySwitches::m_FairShares},
       {"overload", &PolicySwitches::m_BoundQueue},
