Let a VM that has just started check only the servers that it uses

The likely cause, from the code: a VM that starts knows no other, so every duty seems its own, and it connects to all 3000 servers at once; so do the 299 others.

Change: in the first second after its start a VM checks only what it uses itself, at most thirteen servers of a service.

--- a/libs/backend/tests/ExchangeTest.cpp
+++ b/libs/backend/tests/ExchangeTest.cpp
@@ -161,8 +161,9 @@
   });
   Sending Used;
   bool Ended = false;
-  auto Running = Used.m_Sender.send(Server.address(), request("x", true),
-                                    [&](ServerAnswer) { Ended = true; });
+  auto Running =
+      Used.m_Sender.send(Server.address(), request("x", true),
+                         [&](const ServerAnswer &) { Ended = true; });
   auto Seen = Arrived.get_future();
   while (Seen.wait_for(std::chrono::seconds(0)) != std::future_status::ready)
     Used.m_Loop.run_one_for(std::chrono::milliseconds(10));
@@ -219,7 +220,7 @@
   int Ended = 0;
   for (int I = 0; I < 2; ++I)
     Used.m_Sender.send(Server.address(), request("", true),
-                       [&](ServerAnswer) { ++Ended; });
+                       [&](const ServerAnswer &) { ++Ended; });
   CHECK(Used.m_Sender.open(Server.address()) == 2);
   while (Ended < 2)
     Used.m_Loop.run_one();
--- a/libs/fleet/include/hyssopcross/fleet/Membership.h
+++ b/libs/fleet/include/hyssopcross/fleet/Membership.h
@@ -64,6 +64,9 @@
   /// How long the fleet counts as new. With 24 names in each greeting and
   /// heartbeat, all of 130 VMs are known after a second.
   Duration m_NewTime = std::chrono::seconds(4);
+  /// Time after its start in which a VM takes itself for one of a few, since it
+  /// has heard few others: most of 100 VMs are heard in the first second.
+  Duration m_AloneTime = std::chrono::seconds(1);
 };
 
 /// An entry VM as it describes itself.
@@ -205,6 +208,11 @@
 std::string checkDuty(const dispatch::Server &Of, const CheckGroups &Groups,
                       const FleetPolicy &Policy);
 
+/// Whether a VM checks servers that are its duty, SinceStart after its start.
+/// At first all duties seem to be its own, so it checks only what it uses
+/// itself.
+bool mayCheck(bool UsesServer, Duration SinceStart, const FleetPolicy &Policy);
+
 /// The hosts of the first Count other VMs in the order of dutyRank.
 std::vector<std::string> dutyStandbys(const Fleet &Of, std::string_view Duty,
                                       std::string_view DataCentre,
--- a/libs/fleet/src/Membership.cpp
+++ b/libs/fleet/src/Membership.cpp
@@ -367,6 +367,10 @@
          std::to_string(Of.m_Key % GroupsOf(Count));
 }
 
+bool mayCheck(bool UsesServer, Duration SinceStart, const FleetPolicy &Policy) {
+  return UsesServer || SinceStart >= Policy.m_AloneTime;
+}
+
 std::vector<std::string> hostsForCaller(const Fleet &Of,
                                         std::string_view DataCentre,
                                         size_t MinLocal, size_t Limit) {
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -249,6 +249,37 @@
   }
 }
 
+TEST_CASE("a VM that has just started checks only the servers that it uses") {
+  // The load after all VMs of a large fleet were lost: each starts alone, and
+  // with every duty its own would connect to all servers at once.
+  struct Case {
+    uint32_t m_Vms;
+    uint32_t m_Servers;
+  };
+  const Case Cases[] = {{97, 266}, {300, 3000}};
+  const FleetPolicy Policy;
+  const uint32_t MostOfService = Policy.m_LocalServers + Policy.m_RemoteServers;
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Vms);
+    std::vector<VmInfo> Vms = vms(Each.m_Vms, 3);
+    const std::vector<std::string> Services = {"a", "b", "c", "d"};
+    dispatch::ServerView View = serversOf(Services, Each.m_Servers, 3);
+    RingsByService Rings = placeServers(View);
+    for (Duration SinceStart : {0ms, 999ms, 1000ms}) {
+      uint32_t Checked = 0;
+      for (const auto &[Id, Of] : View.m_Servers) {
+        bool Uses = usesServer(Vms[0].m_Host, Vms[0].m_DataCentre, Of,
+                               Rings.at(Of.m_Record.m_Service), Policy);
+        Checked += mayCheck(Uses, SinceStart, Policy) ? 1 : 0;
+      }
+      if (SinceStart < Policy.m_AloneTime)
+        CHECK(Checked <= Services.size() * MostOfService);
+      else
+        CHECK(Checked == Each.m_Servers);
+    }
+  }
+}
+
 TEST_CASE("standbys are the VMs that follow in rank") {
   std::vector<VmInfo> Vms = vms(12, 3);
   for (size_t I = 0; I < Vms.size(); ++I) {
--- a/libs/gateway/src/HealthHost.cpp
+++ b/libs/gateway/src/HealthHost.cpp
@@ -31,7 +31,10 @@
 HealthHost::HealthHost(NodeState &State, Checked Handler)
     : m_State(State), m_Handler(std::move(Handler)), m_Timer(State.m_Loop) {}
 
-void HealthHost::start() { tick(); }
+void HealthHost::start() {
+  m_StartedAt = m_State.now();
+  tick();
+}
 
 const HealthHost::Duty &HealthHost::dutyFor(const dispatch::Server &Of,
                                             Check &Mine) {
@@ -69,11 +72,13 @@
   // The timer fires a little early or late.
   if (Now - Mine.m_StartedAt < Interval * 9 / 10)
     return false;
+  const fleet::FleetPolicy &Fleeting = m_State.m_Settings.m_Fleeting;
+  if (!fleet::mayCheck(Of.m_IsCandidate, Now - m_StartedAt, Fleeting))
+    return false;
   uint32_t Rank = dutyFor(Of, Mine).m_Rank;
   if (Rank == 0)
     return true;
   // Silence tells nothing to a VM that does not hear of the checks.
-  const fleet::FleetPolicy &Fleeting = m_State.m_Settings.m_Fleeting;
   bool Hears = Of.m_IsCandidate || Rank <= Fleeting.m_CheckStandbys ||
                !fleet::isLarge(m_State.m_Fleet, Fleeting);
   if (!Hears)
--- a/libs/gateway/src/HealthHost.h
+++ b/libs/gateway/src/HealthHost.h
@@ -67,6 +67,7 @@
   fleet::CheckGroups m_Groups;
   uint64_t m_GroupedVersion = 0;
   TimePoint m_GroupedAt{};
+  TimePoint m_StartedAt{};
   /// As of a version of the fleet.
   std::map<std::string, Duty> m_Duties;
   uint64_t m_DutiesVersion = 0;
