--- a/libs/entry/tests/PoolHostTest.cpp
+++ b/libs/entry/tests/PoolHostTest.cpp
@@ -59,7 +59,7 @@
     Call.m_Deadline = m_Clock.now() + 20s;
     Call.m_Gate = std::move(Gate);
     return m_Host->run(std::move(Call),
-                       [this](CallResult Result) { m_Result = Result; });
+                       [this](const CallResult &Result) { m_Result = Result; });
   }
 
   /// The next connection of the pool, once a request has come over it.
