--- a/libs/discovery/include/hyssopcross/discovery/Pace.h
+++ b/libs/discovery/include/hyssopcross/discovery/Pace.h
@@ -42,6 +42,20 @@
 /// need starts afresh.
 void noteDropped(Pace &Of);
 
+/// Whole tables that a VM hands to others, in slices of time. Many ask at once
+/// when a fleet starts; those that are turned away ask one that was served.
+struct HandOvers {
+  Duration m_Slice = std::chrono::milliseconds(200);
+  /// Tables in a slice: at 100 KB each, 2 MB a second, what the link of a small
+  /// VM carries.
+  uint32_t m_MostInSlice = 4;
+  TimePoint m_SliceAt{};
+  uint32_t m_Given = 0;
+};
+
+/// Whether one more whole table may be handed over now; counts it.
+bool takeHandOver(HandOvers &Of, TimePoint Now);
+
 } // namespace hyssopcross::discovery
 
 #endif
--- a/libs/discovery/src/Pace.cpp
+++ b/libs/discovery/src/Pace.cpp
@@ -36,4 +36,15 @@
   Of.m_Failures = 0;
 }
 
+bool takeHandOver(HandOvers &Of, TimePoint Now) {
+  if (Now - Of.m_SliceAt >= Of.m_Slice) {
+    Of.m_SliceAt = Now;
+    Of.m_Given = 0;
+  }
+  if (Of.m_Given >= Of.m_MostInSlice)
+    return false;
+  ++Of.m_Given;
+  return true;
+}
+
 } // namespace hyssopcross::discovery
--- a/libs/discovery/tests/PaceTest.cpp
+++ b/libs/discovery/tests/PaceTest.cpp
@@ -67,3 +67,20 @@
     Last = Pause;
   }
 }
+
+TEST_CASE("whole tables are handed over at a bounded rate") {
+  struct Case {
+    /// Since the one before.
+    Duration m_After;
+    bool m_IsGiven;
+  };
+  const Case Cases[] = {
+      {0ms, true},    {10ms, true}, {10ms, true}, {10ms, true},  {10ms, false},
+      {100ms, false}, {60ms, true}, {10ms, true}, {300ms, true}, {199ms, true}};
+  HandOvers Of;
+  TimePoint Now{1h};
+  for (const Case &Each : Cases) {
+    Now += Each.m_After;
+    CHECK(takeHandOver(Of, Now) == Each.m_IsGiven);
+  }
+}
--- a/libs/dispatch/include/hyssopcross/dispatch/Policy.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Policy.h
@@ -50,6 +50,9 @@
   /// wait for up to a third of it.
   double m_RetryAfterShare = 0.3;
   Duration m_MinRetryAfter = std::chrono::milliseconds(30);
+  /// Random time by which callers come back after servers' own refusals end, so
+  /// that they don't all come at once.
+  Duration m_RefusalSpread = std::chrono::milliseconds(100);
   /// Shares of the fleet's budget for sending again that this VM uses; the
   /// rest covers requests in flight and VMs that are not yet known.
   double m_BudgetUse = 0.7;
@@ -62,6 +65,12 @@
   /// in which that share halves without news.
   double m_FailureGain = 0.15;
   Duration m_FailureHalfLife = std::chrono::seconds(2);
+  /// Longest time for which a server's refusal is believed: longer ones are
+  /// taken for a mistake, and would keep a server out for good.
+  Duration m_MaxRefusalTime = std::chrono::minutes(10);
+  /// How long what a server said is kept after it was last said, if the server
+  /// is not listed any more. Outages of the store last minutes.
+  Duration m_NoticeMemory = std::chrono::minutes(15);
   /// Random time after news of a free slot in which a VM that has requests
   /// waiting takes it: long against the time in which the taker's news reaches
   /// the others.
--- a/libs/dispatch/include/hyssopcross/dispatch/Servers.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Servers.h
@@ -55,6 +55,17 @@
   TimePoint m_ToldAt;
 };
 
+/// What a server has said of itself in its answers. It outlives the server's
+/// listing, which may lapse and come back, and ends with its incarnation.
+struct ServerNotice {
+  int64_t m_Incarnation = 0;
+  /// It leaves: it gets nothing more, whatever its listing says.
+  bool m_IsLeaving = false;
+  /// Until when it wants no requests from this VM.
+  TimePoint m_RefusesUntil{};
+  TimePoint m_NotedAt{};
+};
+
 struct Server {
   ServerRecord m_Record;
   ServerKey m_Key = 0;
@@ -79,6 +90,10 @@
   TimePoint m_OutcomeAt{};
   /// Moving average of measured over expected service time.
   double m_SlowRatio = 1.0;
+  /// The incarnation of the record has said in an answer that it leaves.
+  bool m_SaidLeaving = false;
+  /// Until when it wants no requests from this VM, by its own refusal.
+  TimePoint m_RefusesUntil{};
   /// This VM sends to it as a rule; otherwise only if it must.
   bool m_IsCandidate = true;
   /// Removed from the list while the store's answers could not be trusted;
@@ -97,6 +112,8 @@
   /// Data centres whose servers operators have taken out.
   std::set<std::string, std::less<>> m_OutDataCentres;
   std::string m_OwnDataCentre;
+  /// By server id, for servers that are listed or may be listed again.
+  std::map<std::string, ServerNotice, std::less<>> m_Notices;
 };
 
 /// The key of a server id.
@@ -117,6 +134,23 @@
 /// by a health check before they get more than a cold server.
 void setDataCentreOut(ServerView &View, std::string_view DataCentre, bool Out);
 
+/// Takes in that an incarnation of a server has said that it leaves. Returns
+/// whether this changes what is believed of a listed server.
+bool noteLeaving(ServerView &View, std::string_view Id, int64_t Incarnation,
+                 TimePoint Now);
+
+/// Takes in that an incarnation of a server wants no requests from this VM for
+/// a time. A longer time that was told before stays.
+void noteRefusal(ServerView &View, std::string_view Id, int64_t Incarnation,
+                 Duration For, TimePoint Now);
+
+/// Drops what servers said that are not listed and can no longer come back.
+void forgetOldNotices(ServerView &View, const DispatchPolicy &Policy,
+                      TimePoint Now);
+
+/// Whether a server leaves, by its listing or its own answers.
+bool isLeaving(const Server &Of);
+
 /// Whether a server can get requests at all: it does not leave, its data centre
 /// is in service, and it was not found unreachable.
 bool isInService(const ServerView &View, const Server &Of);
--- a/libs/dispatch/src/Choice.cpp
+++ b/libs/dispatch/src/Choice.cpp
@@ -32,8 +32,9 @@
 bool isUsable(const ServerView &View, const Server &Of, const CallInputs &Call,
               const DispatchPolicy &Policy, const WarmupOwner &OwnsWarmup,
               double WarmupRate, TimePoint Now) {
-  if (Of.m_Record.m_Leaving ||
-      View.m_OutDataCentres.count(Of.m_Record.m_DataCentre))
+  if (!isInService(View, Of))
+    return false;
+  if (Now < Of.m_RefusesUntil)
     return false;
   if (Policy.m_Eject && Now < Of.m_EjectedUntil)
     return false;
@@ -140,14 +141,32 @@
   return Best;
 }
 
+double drawShare(std::mt19937 &Random) {
+  return std::uniform_real_distribution<double>(0, 1)(Random);
+}
+
 Duration retryAfter(const CallInputs &Call, const DispatchPolicy &Policy,
                     std::mt19937 &Random, TimePoint Now) {
   Duration Left = std::max(Duration(0), Call.m_EndAt - Now);
-  double Jitter = std::uniform_real_distribution<double>(0.5, 1.0)(Random);
+  double Jitter = 0.5 + drawShare(Random) / 2;
   return std::max(Policy.m_MinRetryAfter,
                   scale(Left, Policy.m_RetryAfterShare * Jitter));
 }
 
+/// When the first of the servers that refuse for a time takes requests again;
+/// absent if none of the service does.
+std::optional<TimePoint>
+firstRefusalEnd(const ServerView &View, const CallInputs &Call, TimePoint Now) {
+  std::optional<TimePoint> First;
+  auto Service = View.m_ByService.find(Call.m_Service);
+  if (Service == View.m_ByService.end())
+    return First;
+  for (const Server *Each : Service->second)
+    if (isInService(View, *Each) && Now < Each->m_RefusesUntil)
+      First = std::min(First.value_or(TimePoint::max()), Each->m_RefusesUntil);
+  return First;
+}
+
 std::vector<Candidate> rateAll(const ServerView &View,
                                const DispatchPolicy &Policy,
                                const CallInputs &Call,
@@ -221,6 +240,15 @@
     fillChoice(Made, *Best, Now);
     return Made;
   }
+  std::optional<TimePoint> RefusedUntil;
+  if (Rated.empty())
+    RefusedUntil = firstRefusalEnd(View, Call, Now);
+  if (RefusedUntil && *RefusedUntil > Call.m_QueueUntil) {
+    Made.m_Reason = "servers_refuse";
+    Made.m_RetryAfter = std::max(Policy.m_MinRetryAfter, *RefusedUntil - Now) +
+                        scale(Policy.m_RefusalSpread, drawShare(Random));
+    return Made;
+  }
   if (Policy.m_Queue && Now < Call.m_QueueUntil) {
     Made.m_Verdict = Verdict::Wait;
     return Made;
--- a/libs/dispatch/src/Servers.cpp
+++ b/libs/dispatch/src/Servers.cpp
@@ -1,6 +1,7 @@
 #include "hyssopcross/dispatch/Servers.h"
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace hyssopcross::dispatch {
 
@@ -24,6 +25,37 @@
   Of.m_SlowRatio = 1.0;
 }
 
+/// Takes over what the incarnation that is listed now has said before.
+void applyNotice(const ServerView &View, Server &Of) {
+  auto Found = View.m_Notices.find(Of.m_Record.m_Id);
+  bool IsSame = Found != View.m_Notices.end() &&
+                Found->second.m_Incarnation == Of.m_Record.m_Incarnation;
+  Of.m_SaidLeaving = IsSame && Found->second.m_IsLeaving;
+  Of.m_RefusesUntil = IsSame ? Found->second.m_RefusesUntil : TimePoint{};
+}
+
+/// The notice of an incarnation, or null if a later one has given notice.
+ServerNotice *noticeOf(ServerView &View, std::string_view Id,
+                       int64_t Incarnation, TimePoint Now) {
+  ServerNotice &Of =
+      View.m_Notices.try_emplace(std::string(Id), ServerNotice{Incarnation})
+          .first->second;
+  if (Incarnation < Of.m_Incarnation)
+    return nullptr;
+  if (Incarnation > Of.m_Incarnation)
+    Of = {Incarnation};
+  Of.m_NotedAt = Now;
+  return &Of;
+}
+
+/// The listed server, if this incarnation of it is listed.
+Server *listedAs(ServerView &View, std::string_view Id, int64_t Incarnation) {
+  auto Found = View.m_Servers.find(Id);
+  bool IsListed = Found != View.m_Servers.end() &&
+                  Found->second.m_Record.m_Incarnation == Incarnation;
+  return IsListed ? &Found->second : nullptr;
+}
+
 void indexServer(ServerView &View, Server &Of) {
   View.m_ByKey[Of.m_Key] = &Of;
   View.m_ByService[Of.m_Record.m_Service].push_back(&Of);
@@ -70,6 +102,7 @@
     Of.m_ListedAt = Now;
   Of.m_Record = Record;
   Of.m_Key = serverKey(Record.m_Id);
+  applyNotice(View, Of);
   if (Record.m_ColdFor > Duration(0))
     Of.m_ColdUntil = std::max(Of.m_ColdUntil, Now + Record.m_ColdFor);
   indexServer(View, Of);
@@ -106,8 +139,40 @@
       Of.m_ConfirmedAt = {};
 }
 
+bool noteLeaving(ServerView &View, std::string_view Id, int64_t Incarnation,
+                 TimePoint Now) {
+  ServerNotice *Notice = noticeOf(View, Id, Incarnation, Now);
+  if (!Notice)
+    return false;
+  Notice->m_IsLeaving = true;
+  Server *Listed = listedAs(View, Id, Incarnation);
+  return Listed && !std::exchange(Listed->m_SaidLeaving, true);
+}
+
+void noteRefusal(ServerView &View, std::string_view Id, int64_t Incarnation,
+                 Duration For, TimePoint Now) {
+  ServerNotice *Notice = noticeOf(View, Id, Incarnation, Now);
+  if (!Notice)
+    return;
+  Notice->m_RefusesUntil = std::max(Notice->m_RefusesUntil, Now + For);
+  if (Server *Listed = listedAs(View, Id, Incarnation))
+    Listed->m_RefusesUntil = Notice->m_RefusesUntil;
+}
+
+void forgetOldNotices(ServerView &View, const DispatchPolicy &Policy,
+                      TimePoint Now) {
+  std::erase_if(View.m_Notices, [&](const auto &Each) {
+    return Now - Each.second.m_NotedAt > Policy.m_NoticeMemory &&
+           !View.m_Servers.count(Each.first);
+  });
+}
+
+bool isLeaving(const Server &Of) {
+  return Of.m_Record.m_Leaving || Of.m_SaidLeaving;
+}
+
 bool isInService(const ServerView &View, const Server &Of) {
-  return !Of.m_Record.m_Leaving &&
+  return !isLeaving(Of) &&
          !View.m_OutDataCentres.count(Of.m_Record.m_DataCentre) &&
          Of.m_Report.m_Health != LoadReport::Health::Unreachable;
 }
--- /dev/null
+++ b/libs/dispatch/tests/NoticesTest.cpp
@@ -0,0 +1,243 @@
+// What servers say of themselves in answers: that they leave, or that they want
+// no requests for a time.
+#include "hyssopcross/dispatch/Choice.h"
+#include <doctest/doctest.h>
+
+using namespace hyssopcross;
+using namespace hyssopcross::dispatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1h};
+
+ServerRecord recordOf(const std::string &Id, int64_t Incarnation) {
+  ServerRecord Record;
+  Record.m_Id = Id;
+  Record.m_Service = "service";
+  Record.m_DataCentre = "here";
+  Record.m_Slots = 2;
+  Record.m_Incarnation = Incarnation;
+  return Record;
+}
+
+void list(ServerView &View, const std::string &Id, int64_t Incarnation,
+          TimePoint Now) {
+  upsertServer(View, recordOf(Id, Incarnation), Now);
+}
+
+/// Decides on a request for the service at a time, at servers that are all
+/// healthy then.
+Choice decideAt(ServerView &View, TimePoint Now,
+                Duration Patience = Duration(0)) {
+  for (auto &[Id, Each] : View.m_Servers)
+    noteReport(Each, LoadReport(), 0ms, Now);
+  CallInputs Call;
+  Call.m_Service = "service";
+  Call.m_ObjectiveAt = Now + 200ms;
+  Call.m_EndAt = Now + 800ms;
+  Call.m_QueueUntil = Now + Patience;
+  Call.m_Work = 60ms;
+  std::mt19937 Random(1);
+  return choose(
+      View, DispatchPolicy(), Call, [](const Server &) { return true; }, 6.7,
+      Random, Now);
+}
+
+} // namespace
+
+TEST_CASE("a server that has said that it leaves gets nothing more") {
+  struct Case {
+    const char *m_Name;
+    void (*m_Happens)(ServerView &);
+    bool m_IsUsed;
+  };
+  const Case Cases[] = {
+      {"nothing was said", [](ServerView &) {}, true},
+      {"it was said",
+       [](ServerView &View) { noteLeaving(View, "s", 7, Start); }, false},
+      {"its listing changes, without a word of leaving",
+       [](ServerView &View) {
+         noteLeaving(View, "s", 7, Start);
+         ServerRecord Changed = recordOf("s", 7);
+         Changed.m_Slots = 3;
+         upsertServer(View, Changed, Start);
+       },
+       false},
+      {"its listing lapses and comes back",
+       [](ServerView &View) {
+         noteLeaving(View, "s", 7, Start);
+         removeServer(View, "s");
+         list(View, "s", 7, Start);
+       },
+       false},
+      {"it was said while the listing had lapsed",
+       [](ServerView &View) {
+         removeServer(View, "s");
+         noteLeaving(View, "s", 7, Start);
+         list(View, "s", 7, Start);
+       },
+       false},
+      {"upkeep passes in between",
+       [](ServerView &View) {
+         noteLeaving(View, "s", 7, Start);
+         removeServer(View, "s");
+         forgetOldNotices(View, DispatchPolicy(), Start + 1min);
+         list(View, "s", 7, Start);
+       },
+       false},
+      {"it starts anew under its id",
+       [](ServerView &View) {
+         noteLeaving(View, "s", 7, Start);
+         list(View, "s", 8, Start);
+       },
+       true},
+      {"an answer of an earlier start comes late",
+       [](ServerView &View) {
+         list(View, "s", 8, Start);
+         noteLeaving(View, "s", 7, Start);
+       },
+       true},
+      {"an answer of an earlier start comes after that of the later",
+       [](ServerView &View) {
+         list(View, "s", 8, Start);
+         noteLeaving(View, "s", 8, Start);
+         noteLeaving(View, "s", 7, Start);
+       },
+       false},
+      {"another server says it",
+       [](ServerView &View) { noteLeaving(View, "t", 7, Start); }, true},
+  };
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Name);
+    ServerView View;
+    View.m_OwnDataCentre = "here";
+    list(View, "s", 7, Start);
+    Each.m_Happens(View);
+    CHECK((decideAt(View, Start + 1s).m_Verdict == Verdict::Send) ==
+          Each.m_IsUsed);
+    CHECK(isInService(View, View.m_Servers.at("s")) == Each.m_IsUsed);
+  }
+}
+
+TEST_CASE("leaving is news once") {
+  ServerView View;
+  CHECK_FALSE(noteLeaving(View, "s", 7, Start));
+  list(View, "s", 8, Start);
+  CHECK(noteLeaving(View, "s", 8, Start));
+  CHECK_FALSE(noteLeaving(View, "s", 8, Start));
+}
+
+TEST_CASE("a server that wants no requests for a time gets none") {
+  struct Case {
+    const char *m_Name;
+    void (*m_Happens)(ServerView &);
+    Duration m_After;
+    bool m_IsUsed;
+  };
+  const Case Cases[] = {
+      {"at once",
+       [](ServerView &View) { noteRefusal(View, "s", 7, 2s, Start); }, 0ms,
+       false},
+      {"until it ends",
+       [](ServerView &View) { noteRefusal(View, "s", 7, 2s, Start); }, 1999ms,
+       false},
+      {"no longer",
+       [](ServerView &View) { noteRefusal(View, "s", 7, 2s, Start); }, 2s,
+       true},
+      {"a shorter time that is told later ends no longer one",
+       [](ServerView &View) {
+         noteRefusal(View, "s", 7, 2s, Start);
+         noteRefusal(View, "s", 7, 100ms, Start);
+       },
+       1s, false},
+      {"its listing lapses and comes back",
+       [](ServerView &View) {
+         noteRefusal(View, "s", 7, 2s, Start);
+         removeServer(View, "s");
+         list(View, "s", 7, Start);
+       },
+       1s, false},
+      {"it starts anew under its id",
+       [](ServerView &View) {
+         noteRefusal(View, "s", 7, 2s, Start);
+         list(View, "s", 8, Start);
+       },
+       1s, true},
+  };
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Name);
+    ServerView View;
+    View.m_OwnDataCentre = "here";
+    list(View, "s", 7, Start);
+    Each.m_Happens(View);
+    CHECK((decideAt(View, Start + Each.m_After).m_Verdict == Verdict::Send) ==
+          Each.m_IsUsed);
+  }
+}
+
+TEST_CASE("where all servers refuse for a time, callers hear when that ends") {
+  struct Case {
+    const char *m_Name;
+    /// What is left of each server's refusal.
+    std::vector<Duration> m_Refusals;
+    Duration m_Patience;
+    Verdict m_Verdict;
+    Duration m_RetryAfter;
+  };
+  const Case Cases[] = {
+      {"the first to end counts", {3s, 2s, 5s}, 0ms, Verdict::Refuse, 2s},
+      {"a wait that cannot help is not begun",
+       {3s, 2s},
+       100ms,
+       Verdict::Refuse,
+       2s},
+      {"one that ends in time is waited for",
+       {3s, 50ms},
+       100ms,
+       Verdict::Wait,
+       0ms},
+      {"one that takes requests is used", {3s, 0ms}, 0ms, Verdict::Send, 0ms},
+  };
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Name);
+    ServerView View;
+    View.m_OwnDataCentre = "here";
+    for (size_t I = 0; I < Each.m_Refusals.size(); ++I) {
+      std::string Id = "s" + std::to_string(I);
+      list(View, Id, 1, Start);
+      noteRefusal(View, Id, 1, Each.m_Refusals[I], Start);
+    }
+    Choice Made = decideAt(View, Start, Each.m_Patience);
+    CHECK(Made.m_Verdict == Each.m_Verdict);
+    if (Each.m_Verdict != Verdict::Refuse)
+      continue;
+    CHECK(Made.m_Reason == std::string("servers_refuse"));
+    CHECK(Made.m_RetryAfter >= Each.m_RetryAfter);
+    CHECK(Made.m_RetryAfter <=
+          Each.m_RetryAfter + DispatchPolicy().m_RefusalSpread);
+  }
+}
+
+TEST_CASE("what servers said is kept while they may be listed again") {
+  const DispatchPolicy Policy;
+  struct Case {
+    bool m_IsListed;
+    Duration m_After;
+    bool m_IsKept;
+  };
+  const Case Cases[] = {
+      {false, Policy.m_NoticeMemory, true},
+      {false, Policy.m_NoticeMemory + 1s, false},
+      {true, Policy.m_NoticeMemory + 1s, true},
+  };
+  for (const Case &Each : Cases) {
+    ServerView View;
+    list(View, "s", 7, Start);
+    noteLeaving(View, "s", 7, Start);
+    if (!Each.m_IsListed)
+      removeServer(View, "s");
+    forgetOldNotices(View, Policy, Start + Each.m_After);
+    CHECK((View.m_Notices.count("s") > 0) == Each.m_IsKept);
+  }
+}
--- a/libs/fleet/fleet.thrift
+++ b/libs/fleet/fleet.thrift
@@ -56,6 +56,8 @@
   4: i16 waiting,
   5: i16 slowdownPercent,
   6: optional i32 coldMillis,
+  // Of the server, if it has said in an answer that it leaves.
+  7: optional i64 leavingIncarnation,
 }
 
 // Requests that the sender has in flight at a backend server.
@@ -68,6 +70,25 @@
   4: optional i16 failed,
 }
 
+// An entry VM as the relays of its data centre describe it.
+struct Member {
+  1: string host,
+  2: i64 incarnation,
+  3: bool ready,
+  4: bool leaving,
+  5: i32 milliCores,
+  // Since the sender last heard it.
+  6: i32 silenceMillis,
+}
+
+// The living VMs of a data centre.
+struct Digest {
+  1: string dataCentre,
+  2: list<Member> members,
+  // A few of them, for a first contact.
+  3: optional bool partial,
+}
+
 struct Datagram {
   1: i32 sender,
   2: i64 incarnation,
@@ -82,4 +103,5 @@
   8: optional list<string> known,
   9: optional Following following,
   10: optional list<Rows> rows,
+  11: optional list<Digest> digests,
 }
--- a/libs/fleet/include/hyssopcross/fleet/Datagram.h
+++ b/libs/fleet/include/hyssopcross/fleet/Datagram.h
@@ -5,6 +5,7 @@
 #include "hyssopcross/discovery/Table.h"
 #include "hyssopcross/dispatch/Servers.h"
 #include "hyssopcross/fleet/Membership.h"
+#include "hyssopcross/fleet/Relay.h"
 #include <optional>
 #include <span>
 #include <string>
@@ -16,6 +17,8 @@
 struct ServerReport {
   dispatch::ServerKey m_Server = 0;
   dispatch::LoadReport m_Load;
+  /// Of the server, if it has said in an answer that it leaves.
+  std::optional<int64_t> m_LeavingIncarnation = std::nullopt;
 };
 
 /// Requests that the sender has in flight at one server.
@@ -58,6 +61,7 @@
   /// Absent if the sender does not follow the store.
   std::optional<Following> m_Following;
   std::vector<TableRows> m_Rows;
+  std::vector<Digest> m_Digests;
 };
 
 /// Encodes with Thrift's compact protocol.
--- a/libs/fleet/include/hyssopcross/fleet/Membership.h
+++ b/libs/fleet/include/hyssopcross/fleet/Membership.h
@@ -50,13 +50,32 @@
   /// Other data centres' VMs that get each batch of reports; with more VMs,
   /// each gets every second, third ... batch.
   uint32_t m_RemoteReceivers = 14;
-  /// VMs from which on heartbeats are sent half as often, and to other data
-  /// centres a quarter as often.
+  /// VMs from which on heartbeats are sent half as often, and stay within the
+  /// data centre: other data centres get digests.
   uint32_t m_LargeFleet = 30;
   /// Silence after which a VM of another data centre of a large fleet gets no
-  /// duties: two lost heartbeats, and within the six seconds for which callers
-  /// may be sent to a VM that is gone.
+  /// duties: a lost digest beside the usual age of its heartbeat and of the
+  /// digest, and within the seven seconds for which callers may be sent to a VM
+  /// that is gone.
   Duration m_RemoteSilenceLimit = std::chrono::milliseconds(4500);
+  /// VMs of each data centre of a large fleet that send its digest to the
+  /// others. With three, two may fail at once.
+  uint32_t m_Relays = 3;
+  /// VMs of each other data centre that a relay sends each digest to.
+  uint32_t m_DigestReceivers = 2;
+  /// VMs of each further data centre that a VM new to the fleet is told of.
+  uint32_t m_Contacts = 2;
+  /// Between two digests of a relay; while the fleet is new, each heartbeat
+  /// comes with one.
+  Duration m_DigestInterval = std::chrono::seconds(2);
+  /// A digest is passed on within a data centre if none of the same origin was
+  /// heard for this long: of the relays of one origin, about two are heard in
+  /// each interval.
+  Duration m_DigestRepeat = std::chrono::milliseconds(900);
+  /// Silence of all relays of a data centre after which a VM asks one there
+  /// itself: an interval and a half, and well before all of them would
+  /// count as gone.
+  Duration m_DigestSilence = std::chrono::seconds(3);
   /// Other VMs named in a heartbeat, so that all come to know all: many while
   /// the fleet is new to this VM, few later.
   uint32_t m_NamedAtFirst = 24;
@@ -102,6 +121,8 @@
   VmKey m_SelfKey = 0;
   /// By host.
   std::map<std::string, Peer, std::less<>> m_Peers;
+  /// When a digest of another data centre was last heard, by its name.
+  std::map<std::string, TimePoint, std::less<>> m_DigestHeardAt;
   /// Grows with every change of who is alive or leaving.
   uint64_t m_Version = 1;
 };
@@ -122,14 +143,10 @@
 bool noteSequence(Fleet &Of, std::string_view Host, int64_t Incarnation,
                   int64_t Sequence, TimePoint Now);
 
-/// Whether heartbeats are sent half as often.
+/// Whether the fleet is so large that heartbeats are sent half as often, and
+/// digests in place of them to other data centres.
 bool isLarge(const Fleet &Of, const FleetPolicy &Policy);
 
-/// Whether heartbeat number Beat goes to a VM: to those of other data centres
-/// of a large fleet, every second one does.
-bool isBeatFor(const Fleet &Of, const FleetPolicy &Policy, const Peer &To,
-               uint64_t Beat);
-
 /// Marks VMs that have fallen silent; returns their hosts.
 std::vector<std::string> expirePeers(Fleet &Of, const FleetPolicy &Policy,
                                      TimePoint Now);
@@ -163,10 +180,19 @@
 FollowerTurn followerTurn(const Fleet &Of, const FleetPolicy &Policy,
                           TimePoint Now);
 
-/// A VM that can tell what the store holds: one that follows it, of the same
-/// data centre if there is one; any ready VM if nobody follows. Draw is from 0
+/// What a VM asks another one for.
+enum class TableNeed {
+  /// What it has missed lately: those that follow the store have it first.
+  Changes,
+  /// Everything: any VM that is ready has it, and a fleet that starts must not
+  /// take it all from the followers.
+  Whole,
+};
+
+/// A ready VM that can tell what the store holds: of the same data centre if
+/// there is one; for changes, rather one that follows the store. Draw is from 0
 /// to 1 and picks among equals. Null if there is none.
-const Peer *tablesSource(const Fleet &Of, double Draw);
+const Peer *tablesSource(const Fleet &Of, TableNeed Need, double Draw);
 
 /// The places of a service's servers on a ring, sorted. A server's place
 /// follows from its id alone, so one that comes or goes moves no other.
--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -21,6 +21,13 @@
   return static_cast<int16_t>(std::min<uint32_t>(Count, INT16_MAX));
 }
 
+/// Whole milliseconds, cut to what the message can hold.
+int32_t toMillis32(Duration Length) {
+  auto Millis = std::chrono::duration_cast<std::chrono::milliseconds>(Length);
+  return static_cast<int32_t>(
+      std::min<int64_t>(Millis.count(), std::numeric_limits<int32_t>::max()));
+}
+
 wire::Vm toWire(const VmInfo &Info) {
   wire::Vm Made;
   Made.name = Info.m_Name;
@@ -44,6 +51,8 @@
       From.m_Load.m_ColdFor);
   if (Cold.count() > 0)
     Made.__set_coldMillis(static_cast<int32_t>(Cold.count()));
+  if (From.m_LeavingIncarnation)
+    Made.__set_leavingIncarnation(*From.m_LeavingIncarnation);
   return Made;
 }
 
@@ -60,6 +69,8 @@
       static_cast<uint32_t>(std::max<int16_t>(1, From.slowdownPercent));
   if (From.__isset.coldMillis)
     Made.m_Load.m_ColdFor = std::chrono::milliseconds(From.coldMillis);
+  if (From.__isset.leavingIncarnation)
+    Made.m_LeavingIncarnation = From.leavingIncarnation;
   return Made;
 }
 
@@ -93,6 +104,43 @@
   return Made;
 }
 
+wire::Digest toWire(const Digest &From) {
+  wire::Digest Made;
+  Made.dataCentre = From.m_DataCentre;
+  if (!From.m_IsWhole)
+    Made.__set_partial(true);
+  for (const Member &Each : From.m_Members) {
+    wire::Member Vm;
+    Vm.host = Each.m_Info.m_Host;
+    Vm.incarnation = Each.m_Info.m_Incarnation;
+    Vm.ready = Each.m_Info.m_Ready;
+    Vm.leaving = Each.m_Info.m_Leaving;
+    Vm.milliCores = static_cast<int32_t>(Each.m_Info.m_MilliCores);
+    Vm.silenceMillis = toMillis32(Each.m_Silence);
+    Made.members.push_back(std::move(Vm));
+  }
+  return Made;
+}
+
+Digest fromWire(const wire::Digest &From) {
+  Digest Made;
+  Made.m_DataCentre = From.dataCentre;
+  Made.m_IsWhole = !From.partial;
+  for (const wire::Member &Each : From.members) {
+    VmInfo Info;
+    Info.m_Host = Each.host;
+    Info.m_DataCentre = From.dataCentre;
+    Info.m_Incarnation = Each.incarnation;
+    Info.m_Ready = Each.ready;
+    Info.m_Leaving = Each.leaving;
+    Info.m_MilliCores = static_cast<uint32_t>(std::max(1, Each.milliCores));
+    Made.m_Members.push_back(
+        {std::move(Info),
+         std::chrono::milliseconds(std::max(0, Each.silenceMillis))});
+  }
+  return Made;
+}
+
 /// Writes one message with the compact protocol.
 template <typename Message> std::string encode(const Message &From) {
   auto Buffer = std::make_shared<TMemoryBuffer>();
@@ -163,10 +211,8 @@
     State.storeAnswers = Message.m_Following->m_StoreAnswers;
     for (uint64_t Each : Message.m_Following->m_Versions)
       State.versions.push_back(static_cast<int64_t>(Each));
-    auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        Message.m_Following->m_ConfirmedAge);
-    State.__set_confirmedAgeMillis(static_cast<int32_t>(
-        std::min<int64_t>(Age.count(), std::numeric_limits<int32_t>::max())));
+    State.__set_confirmedAgeMillis(
+        toMillis32(Message.m_Following->m_ConfirmedAge));
     Made.__set_following(State);
   }
   if (!Message.m_Rows.empty()) {
@@ -174,6 +220,11 @@
     for (const TableRows &Each : Message.m_Rows)
       Made.rows.push_back(toWire(Each));
   }
+  if (!Message.m_Digests.empty()) {
+    Made.__isset.digests = true;
+    for (const Digest &Each : Message.m_Digests)
+      Made.digests.push_back(toWire(Each));
+  }
   return encode(Made);
 }
 
@@ -215,6 +266,8 @@
   }
   for (wire::Rows &Each : Read.rows)
     Made.m_Rows.push_back(fromWire(Each));
+  for (const wire::Digest &Each : Read.digests)
+    Made.m_Digests.push_back(fromWire(Each));
   return Made;
 }
 
--- a/libs/fleet/src/Membership.cpp
+++ b/libs/fleet/src/Membership.cpp
@@ -151,13 +151,6 @@
   return Of.m_Peers.size() >= Policy.m_LargeFleet;
 }
 
-bool isBeatFor(const Fleet &Of, const FleetPolicy &Policy, const Peer &To,
-               uint64_t Beat) {
-  if (!To.m_Alive || !isLarge(Of, Policy))
-    return true;
-  return To.m_Info.m_DataCentre == Of.m_Self.m_DataCentre || Beat % 2 == 0;
-}
-
 std::vector<std::string> expirePeers(Fleet &Of, const FleetPolicy &Policy,
                                      TimePoint Now) {
   std::vector<std::string> Silent;
@@ -272,14 +265,15 @@
   return Turn;
 }
 
-const Peer *tablesSource(const Fleet &Of, double Draw) {
+const Peer *tablesSource(const Fleet &Of, TableNeed Need, double Draw) {
   std::vector<const Peer *> Best;
   int BestRank = 0;
   for (const auto &[Host, Known] : Of.m_Peers) {
     if (!Known.m_Alive || !Known.m_Info.m_Ready)
       continue;
     bool IsLocal = Known.m_Info.m_DataCentre == Of.m_Self.m_DataCentre;
-    int Rank = 1 + (Known.m_StoreAnswers ? 2 : 0) + (IsLocal ? 1 : 0);
+    bool IsFirstHand = Need == TableNeed::Changes && Known.m_StoreAnswers;
+    int Rank = 1 + (IsFirstHand ? 2 : 0) + (IsLocal ? 1 : 0);
     if (Rank > BestRank) {
       Best.clear();
       BestRank = Rank;
--- /dev/null
+++ b/libs/fleet/tests/RelayTest.cpp
@@ -0,0 +1,437 @@
+// Digests between data centres, in memory: each VM decides with its own view,
+// and messages are lost, delayed and repeated.
+#include "hyssopcross/fleet/Relay.h"
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace hyssopcross;
+using namespace hyssopcross::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Between two rounds of the simulation.
+constexpr Duration Step = 50ms;
+
+struct Message {
+  TimePoint m_ArrivesAt;
+  std::string m_From;
+  std::string m_To;
+  std::optional<VmInfo> m_Self;
+  bool m_IsGreeting = false;
+  std::vector<std::string> m_Names;
+  std::vector<Digest> m_Digests;
+};
+
+struct Vm {
+  Fleet m_Fleet;
+  TimePoint m_StartedAt;
+  TimePoint m_BeatAt;
+  TimePoint m_DigestAt{};
+  bool m_Runs = true;
+  uint64_t m_Received = 0;
+};
+
+/// A fleet whose VMs exchange heartbeats and digests as the daemon does.
+class Simulation {
+public:
+  Simulation(uint32_t Vms, uint32_t DataCentres, uint32_t Seed, double Loss)
+      : m_Random(Seed), m_Loss(Loss) {
+    for (uint32_t I = 0; I < Vms; ++I)
+      start("10.0." + std::to_string(I % DataCentres) + "." + std::to_string(I),
+            "dc" + std::to_string(I % DataCentres), 1);
+  }
+
+  /// DataCentre is a copy: a VM that starts again forgets its own.
+  void start(const std::string &Host, std::string DataCentre,
+             int64_t Incarnation) {
+    Vm &Made = m_Vms[Host];
+    Made = {};
+    VmInfo &Self = Made.m_Fleet.m_Self;
+    Self.m_Host = Host;
+    Self.m_DataCentre = std::move(DataCentre);
+    Self.m_Incarnation = Incarnation;
+    Self.m_Ready = true;
+    Self.m_MilliCores = 100;
+    Made.m_StartedAt = m_Now;
+    Made.m_BeatAt = m_Now + draw(500ms);
+    m_Order.insert(Host);
+    // Everyone knows the same few.
+    size_t Seeds = 0;
+    for (const std::string &Each : m_Order)
+      if (Seeds++ < 3)
+        greet(Made, Each);
+  }
+
+  void stop(const std::string &Host) { m_Vms.at(Host).m_Runs = false; }
+
+  void run(Duration Length) {
+    for (TimePoint End = m_Now + Length; m_Now < End; m_Now += Step)
+      round();
+  }
+
+  /// Views of other VMs by running VMs that are wrong.
+  struct Wrong {
+    /// Gone VMs that are taken for alive.
+    uint64_t m_Gone = 0;
+    /// Of all views, running VMs that are not taken for alive.
+    double m_MissedShare = 0;
+  };
+  Wrong wrong() const {
+    Wrong Seen;
+    uint64_t Missed = 0;
+    uint64_t All = 0;
+    for (const auto &[Host, Of] : m_Vms) {
+      if (!Of.m_Runs)
+        continue;
+      for (const auto &[Other, Known] : m_Vms) {
+        if (Other == Host)
+          continue;
+        auto Peer = Of.m_Fleet.m_Peers.find(Other);
+        bool Alive = Peer != Of.m_Fleet.m_Peers.end() && Peer->second.m_Alive;
+        ++All;
+        Seen.m_Gone += Alive && !Known.m_Runs ? 1 : 0;
+        Missed += !Alive && Known.m_Runs ? 1 : 0;
+      }
+    }
+    Seen.m_MissedShare = static_cast<double>(Missed) / static_cast<double>(All);
+    return Seen;
+  }
+
+  /// Whether no VM that is gone is taken for alive, and as good as none that
+  /// runs is missed: lost heartbeats in a row hide one for a moment.
+  bool isKnown() const {
+    Wrong Seen = wrong();
+    return Seen.m_Gone == 0 && Seen.m_MissedShare <= 0.001;
+  }
+
+  /// Most messages that a VM has received since the last call.
+  uint64_t mostReceived() {
+    uint64_t Most = 0;
+    for (auto &[Host, Of] : m_Vms)
+      Most = std::max(Most, std::exchange(Of.m_Received, 0));
+    return Most;
+  }
+
+  /// Messages between data centres since the last call.
+  uint64_t crossed() { return std::exchange(m_Crossed, 0); }
+
+  std::map<std::string, Vm> m_Vms;
+  FleetPolicy m_Policy;
+  std::mt19937 m_Random;
+  /// Links that carry nothing, from a data centre to another.
+  std::set<std::pair<std::string, std::string>> m_Cut;
+
+private:
+  Duration draw(Duration Most) {
+    return scale(Most, std::uniform_real_distribution<double>(0, 1)(m_Random));
+  }
+
+  void post(Vm &From, Message Sent) {
+    Sent.m_From = From.m_Fleet.m_Self.m_Host;
+    auto To = m_Vms.find(Sent.m_To);
+    if (To == m_Vms.end())
+      return;
+    const std::string &Here = From.m_Fleet.m_Self.m_DataCentre;
+    const std::string &There = To->second.m_Fleet.m_Self.m_DataCentre;
+    m_Crossed += Here == There ? 0 : 1;
+    if (m_Cut.count({Here, There}) || draw(1s) < scale(Duration(1s), m_Loss))
+      return;
+    Sent.m_ArrivesAt = m_Now + 1ms + draw(20ms);
+    m_Sent.push_back(Sent);
+    // Some arrive twice, the second time late.
+    if (draw(1s) < 20ms) {
+      Sent.m_ArrivesAt += 700ms;
+      m_Sent.push_back(std::move(Sent));
+    }
+  }
+
+  Message greetingOf(const Vm &From, const std::string &To) const {
+    Message Made;
+    Made.m_To = To;
+    Made.m_Self = From.m_Fleet.m_Self;
+    Made.m_IsGreeting = true;
+    return Made;
+  }
+
+  void greet(Vm &From, const std::string &Host) {
+    if (learnHost(From.m_Fleet, Host, m_Now))
+      post(From, greetingOf(From, Host));
+  }
+
+  void answerGreeting(Vm &Of, const VmInfo &From) {
+    Message Reply;
+    Reply.m_To = From.m_Host;
+    Reply.m_Self = Of.m_Fleet.m_Self;
+    if (isLarge(Of.m_Fleet, m_Policy)) {
+      Reply.m_Names = hostsToName(Of.m_Fleet, From.m_DataCentre,
+                                  m_Policy.m_NamedAtFirst, m_Random);
+      if (From.m_DataCentre != Of.m_Fleet.m_Self.m_DataCentre) {
+        Reply.m_Digests = contactsFor(Of.m_Fleet, m_Policy, From.m_DataCentre,
+                                      m_Random, m_Now);
+        Reply.m_Digests.push_back(digestOfOwn(Of.m_Fleet, m_Now));
+      }
+    }
+    post(Of, std::move(Reply));
+  }
+
+  void take(Vm &Of, const Message &Got) {
+    ++Of.m_Received;
+    if (Got.m_Self) {
+      HeardChange Change = noteHeard(Of.m_Fleet, *Got.m_Self, m_Now);
+      if (Got.m_IsGreeting || Change == HeardChange::Joined ||
+          needsContacts(Of.m_Fleet, m_Policy, *Got.m_Self,
+                        !Got.m_Digests.empty()))
+        answerGreeting(Of, *Got.m_Self);
+    }
+    auto Sender = Of.m_Fleet.m_Peers.find(Got.m_From);
+    if (Sender == Of.m_Fleet.m_Peers.end() || !Sender->second.m_Alive)
+      return;
+    for (const std::string &Each : Got.m_Names)
+      greet(Of, Each);
+    const std::string &Own = Of.m_Fleet.m_Self.m_DataCentre;
+    bool IsFromOutside = Sender->second.m_Info.m_DataCentre != Own;
+    for (const Digest &Each : Got.m_Digests) {
+      DigestNews News = takeDigest(Of.m_Fleet, m_Policy, Each, m_Now);
+      if (!News.m_IsFresh || !IsFromOutside)
+        continue;
+      for (const auto &[Host, Known] : Of.m_Fleet.m_Peers)
+        if (Known.m_Alive && Known.m_Info.m_DataCentre == Own) {
+          Message Passed;
+          Passed.m_To = Host;
+          Passed.m_Digests = {Each};
+          post(Of, std::move(Passed));
+        }
+    }
+  }
+
+  void beat(Vm &Of) {
+    bool IsNew = m_Now - Of.m_StartedAt < m_Policy.m_NewTime;
+    bool IsDue = IsNew || m_Now - Of.m_DigestAt >= m_Policy.m_DigestInterval;
+    BeatRecipients To =
+        beatRecipients(Of.m_Fleet, m_Policy, IsDue, m_Random, m_Now);
+    bool IsLarge = isLarge(Of.m_Fleet, m_Policy);
+    Message Beat;
+    Beat.m_Self = Of.m_Fleet.m_Self;
+    Beat.m_Names = hostsToName(
+        Of.m_Fleet, IsLarge ? Of.m_Fleet.m_Self.m_DataCentre : "",
+        IsNew ? m_Policy.m_NamedAtFirst : m_Policy.m_NamedLater, m_Random);
+    for (const std::string &Host : To.m_Heartbeat) {
+      Beat.m_To = Host;
+      post(Of, Beat);
+    }
+    if (!To.m_Digest.empty())
+      Of.m_DigestAt = m_Now;
+    for (const std::string &Host : To.m_Digest) {
+      Message Told;
+      Told.m_To = Host;
+      Told.m_Self = Of.m_Fleet.m_Self;
+      Told.m_Digests = {digestOfOwn(Of.m_Fleet, m_Now)};
+      post(Of, std::move(Told));
+    }
+    for (const std::string &Host : To.m_Greeting)
+      post(Of, greetingOf(Of, Host));
+    expirePeers(Of.m_Fleet, m_Policy, m_Now);
+    Of.m_BeatAt = m_Now + (IsLarge ? 2 : 1) * m_Policy.m_Heartbeat;
+  }
+
+  void round() {
+    std::vector<Message> Arriving;
+    auto Later =
+        std::partition(m_Sent.begin(), m_Sent.end(), [&](const Message &Each) {
+          return Each.m_ArrivesAt > m_Now;
+        });
+    Arriving.assign(std::make_move_iterator(Later),
+                    std::make_move_iterator(m_Sent.end()));
+    m_Sent.erase(Later, m_Sent.end());
+    for (const Message &Each : Arriving) {
+      Vm &To = m_Vms.at(Each.m_To);
+      if (To.m_Runs)
+        take(To, Each);
+    }
+    for (auto &[Host, Of] : m_Vms)
+      if (Of.m_Runs && m_Now >= Of.m_BeatAt)
+        beat(Of);
+  }
+
+  TimePoint m_Now{1h};
+  double m_Loss;
+  std::vector<Message> m_Sent;
+  std::set<std::string> m_Order;
+  uint64_t m_Crossed = 0;
+};
+
+/// Time for a fleet that starts at once to know itself.
+constexpr Duration MeetTime = 3s;
+/// Time after which callers may no longer be sent to a VM that is gone.
+constexpr Duration GoneBound = 7s;
+
+} // namespace
+
+TEST_CASE("a fleet of any size comes to know itself, and what each VM hears "
+          "does not grow with the data centres") {
+  struct Case {
+    uint32_t m_Vms;
+    uint32_t m_DataCentres;
+  };
+  const Case Cases[] = {{3, 3}, {29, 3}, {31, 3}, {97, 3}, {312, 5}, {420, 11}};
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Vms);
+    Simulation Test(Each.m_Vms, Each.m_DataCentres, 1, 0.002);
+    Test.run(MeetTime);
+    CHECK(Test.wrong().m_MissedShare < 0.01);
+    Test.run(5s);
+    CHECK(Test.isKnown());
+    Test.mostReceived();
+    Test.crossed();
+    Test.run(10s);
+    CHECK(Test.isKnown());
+    if (Each.m_Vms < 30)
+      continue;
+    uint32_t Local = (Each.m_Vms + Each.m_DataCentres - 1) / Each.m_DataCentres;
+    // Of each other data centre, at most two receivers for each of three
+    // relays in an interval.
+    uint64_t Digests = (Each.m_DataCentres - 1) * 6 * 5;
+    CHECK(Test.mostReceived() <= Local * 11 + Digests);
+    CHECK(Test.crossed() <=
+          Each.m_DataCentres * (Each.m_DataCentres - 1) * 6 * 11 / 2);
+  }
+}
+
+TEST_CASE(
+    "views hold while relays fail, and are right again within the bound") {
+  struct Case {
+    const char *m_Name;
+    /// Stops some VMs; given the relays of dc0.
+    void (*m_Fails)(Simulation &, const std::vector<std::string> &);
+  };
+  const Case Cases[] = {
+      {"all relays of a data centre",
+       [](Simulation &Test, const std::vector<std::string> &Relays) {
+         for (const std::string &Host : Relays)
+           Test.stop(Host);
+       }},
+      {"a whole data centre",
+       [](Simulation &Test, const std::vector<std::string> &) {
+         for (auto &[Host, Of] : Test.m_Vms)
+           if (Of.m_Fleet.m_Self.m_DataCentre == "dc0")
+             Of.m_Runs = false;
+       }},
+      {"a third of all",
+       [](Simulation &Test, const std::vector<std::string> &) {
+         for (auto &[Host, Of] : Test.m_Vms)
+           Of.m_Runs = Test.m_Random() % 3 != 0;
+       }},
+      {"all relays but one, which can't reach the others",
+       [](Simulation &Test, const std::vector<std::string> &Relays) {
+         for (size_t I = 1; I < Relays.size(); ++I)
+           Test.stop(Relays[I]);
+         Test.m_Cut.insert({"dc0", "dc2"});
+         Test.run(1s);
+         Test.m_Cut.clear();
+       }},
+  };
+  for (const Case &Each : Cases)
+    for (uint32_t Seed = 1; Seed <= 8; ++Seed) {
+      CAPTURE(Each.m_Name);
+      CAPTURE(Seed);
+      Simulation Test(120, 4, Seed, 0.01);
+      Test.run(8s);
+      REQUIRE(Test.isKnown());
+      std::vector<std::string> Relays;
+      for (const auto &[Host, Of] : Test.m_Vms)
+        if (Of.m_Fleet.m_Self.m_DataCentre == "dc0" &&
+            isRelay(Of.m_Fleet, Test.m_Policy))
+          Relays.push_back(Host);
+      REQUIRE(Relays.size() == Test.m_Policy.m_Relays);
+      Each.m_Fails(Test, Relays);
+      Test.run(GoneBound);
+      CHECK(Test.isKnown());
+      Test.run(5s);
+      CHECK(Test.isKnown());
+    }
+}
+
+TEST_CASE("data centres that lost each other meet again, and VMs that start "
+          "again are known by their new start") {
+  for (uint32_t Seed = 1; Seed <= 5; ++Seed) {
+    CAPTURE(Seed);
+    Simulation Test(90, 3, Seed, 0.01);
+    Test.run(8s);
+    Test.m_Cut = {{"dc0", "dc1"}, {"dc1", "dc0"}};
+    Test.run(20s);
+    // A third that sees both does not vouch for them: who can't be reached gets
+    // no duties.
+    CHECK(Test.wrong().m_MissedShare > 0.1);
+    Test.m_Cut.clear();
+    Test.run(6s);
+    CHECK(Test.isKnown());
+
+    std::vector<std::string> Hosts;
+    for (const auto &[Host, Of] : Test.m_Vms)
+      Hosts.push_back(Host);
+    for (size_t I = 0; I < Hosts.size(); I += 2)
+      Test.start(Hosts[I], Test.m_Vms.at(Hosts[I]).m_Fleet.m_Self.m_DataCentre,
+                 2);
+    Test.run(GoneBound);
+    CHECK(Test.isKnown());
+    const Fleet &View = Test.m_Vms.at(Hosts[1]).m_Fleet;
+    for (size_t I = 0; I < Hosts.size(); I += 2)
+      CHECK(View.m_Peers.at(Hosts[I]).m_Info.m_Incarnation == 2);
+  }
+}
+
+TEST_CASE("a digest changes what it knows better, and nothing else") {
+  const TimePoint Start{1h};
+  struct Case {
+    const char *m_Name;
+    const char *m_Host;
+    int64_t m_Incarnation;
+    Duration m_Silence;
+    bool m_Leaving;
+    bool m_AliveAfter;
+    bool m_LeavingAfter;
+  };
+  // First-hand: "near" of the own data centre and "far" of another were heard a
+  // second ago, the second start of each.
+  const Case Cases[] = {
+      {"newer news", "far", 2, 100ms, true, true, true},
+      {"older news", "far", 2, 2s, true, true, false},
+      {"an earlier start", "far", 1, 100ms, true, true, false},
+      {"a later start", "far", 3, 100ms, true, true, true},
+      {"a VM that was silent for too long", "new", 1, 6s, false, false, false},
+      {"a VM not known before", "new", 1, 1s, false, true, false},
+  };
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Name);
+    Fleet View;
+    View.m_Self.m_Host = "self";
+    View.m_Self.m_DataCentre = "here";
+    VmInfo Far;
+    Far.m_Host = "far";
+    Far.m_DataCentre = "there";
+    Far.m_Incarnation = 2;
+    noteHeard(View, Far, Start - 1s);
+    VmInfo Told = Far;
+    Told.m_Host = Each.m_Host;
+    Told.m_Incarnation = Each.m_Incarnation;
+    Told.m_Leaving = Each.m_Leaving;
+    takeDigest(View, FleetPolicy(), {"there", {{Told, Each.m_Silence}}}, Start);
+    auto Found = View.m_Peers.find(Each.m_Host);
+    bool IsAlive = Found != View.m_Peers.end() && Found->second.m_Alive;
+    CHECK(IsAlive == Each.m_AliveAfter);
+    if (IsAlive)
+      CHECK(Found->second.m_Info.m_Leaving == Each.m_LeavingAfter);
+  }
+  Fleet View;
+  View.m_Self.m_Host = "self";
+  View.m_Self.m_DataCentre = "here";
+  VmInfo Near;
+  Near.m_Host = "near";
+  Near.m_DataCentre = "here";
+  takeDigest(View, FleetPolicy(), {"here", {{Near, 0ms}}}, Start);
+  CHECK(View.m_Peers.empty());
+}
--- a/libs/gateway/include/hyssopcross/gateway/Dialect.h
+++ b/libs/gateway/include/hyssopcross/gateway/Dialect.h
@@ -78,6 +78,12 @@
   /// The load that an answer or a health check tells, if it does.
   std::function<std::optional<dispatch::LoadReport>(const http::Response &)>
       m_DecodeLoad;
+  /// Whether a server says in an answer that it leaves.
+  std::function<bool(const http::Response &)> m_SaysLeaving;
+  /// For how long a server that turns a request away wants no more; absent if
+  /// it does not say. Fails with Protocol if what it says is no such time.
+  std::function<Result<std::optional<Duration>>(const http::Response &)>
+      m_DecodeRefusalTime;
   /// The id of the server that answered a health check; empty if not told.
   std::function<std::string(const http::Response &)> m_DecodeServerId;
   std::function<DirectoryQuestion(const http::Request &)>
--- a/libs/gateway/src/CallAttempts.cpp
+++ b/libs/gateway/src/CallAttempts.cpp
@@ -38,6 +38,7 @@
   dispatch::Server &To = *Made.m_Server;
   auto Which = std::make_shared<Attempt>();
   Which->m_Server = To.m_Record.m_Id;
+  Which->m_Incarnation = To.m_Record.m_Incarnation;
   Which->m_SentAt = Now;
   Which->m_Expected = Made.m_Estimate;
   Which->m_Slowdown = Made.m_Slowdown;
@@ -193,6 +194,10 @@
   TimePoint Now = m_State.now();
   Duration Took = Now - Which.m_SentAt;
   m_State.m_Metrics.noteAttempt(http::exchangeEndName(Result.m_End), Took);
+  bool LeavesNow =
+      Result.m_End == http::ExchangeEnd::Answered &&
+      noteServerNotices(m_State, Which.m_Server, Which.m_Incarnation,
+                        Result.m_Answer, "answer");
   auto Found = m_State.m_Servers.m_Servers.find(Which.m_Server);
   if (Found == m_State.m_Servers.m_Servers.end())
     return;
@@ -201,6 +206,8 @@
   dispatch::noteEnd(At, m_State.m_Settings.m_Dispatch, End, Took,
                     Which.m_Expected, Now);
   m_Fleet.tellOutcome(At, End == dispatch::AttemptEnd::Answered);
+  if (LeavesNow)
+    m_Fleet.tellLeaving(At);
   if (!WasEjected && Now < At.m_EjectedUntil)
     logEvent(LogLevel::Warning, "server_ejected",
              {{"server", Which.m_Server},
--- a/libs/gateway/src/CallHost.h
+++ b/libs/gateway/src/CallHost.h
@@ -37,6 +37,7 @@
 private:
   struct Attempt {
     std::string m_Server;
+    int64_t m_Incarnation = 0;
     std::shared_ptr<http::ClientCall> m_Call;
     TimePoint m_SentAt;
     Duration m_Expected{};
--- a/libs/gateway/src/DiscoveryBeliefs.cpp
+++ b/libs/gateway/src/DiscoveryBeliefs.cpp
@@ -69,7 +69,7 @@
       return;
     bool MayComeBack = m_RestoredAt != TimePoint{} &&
                        Now - m_RestoredAt < RelistTime &&
-                       !Found->second.m_Record.m_Leaving;
+                       !dispatch::isLeaving(Found->second);
     if (!MayComeBack)
       return removeServer(Changed.m_Key, "unlisted");
     Found->second.m_RemoveAt = m_RestoredAt + RelistTime;
--- a/libs/gateway/src/DiscoveryHost.cpp
+++ b/libs/gateway/src/DiscoveryHost.cpp
@@ -23,8 +23,18 @@
 /// that start at once do so within some 0.4 s; without this, each would follow
 /// the store until it has heard the others.
 constexpr Duration SettleTime = std::chrono::milliseconds(500);
-/// Time in which a VM without tables asks other VMs for them before the store.
-constexpr Duration PeersFirstTime = std::chrono::milliseconds(1500);
+/// How long another VM may take to hand over a whole table: some hundred
+/// kilobytes through the link of a small VM that others ask too.
+constexpr Duration WholeTableTimeout = std::chrono::milliseconds(1500);
+/// Time in which a VM without tables asks other VMs for them before the store,
+/// when the whole system starts: callers come seconds later, and the tables
+/// spread from VM to VM in about two.
+constexpr Duration PeersFirstTime = std::chrono::milliseconds(4000);
+/// Mean pause of such a VM that found none to ask, or was turned away: others
+/// are served meanwhile, and can be asked next.
+constexpr Duration PeersFirstPause = std::chrono::milliseconds(200);
+/// Rows from which on handing a whole table over takes a link's time.
+constexpr size_t LongTableRows = 64;
 /// Pause after a watch that brought changes; small against the two seconds in
 /// which a change must be in force. The pauses of three followers overlap, so
 /// that news wait for less.
@@ -139,9 +149,7 @@
   if (!needsCall(Of))
     return discovery::noteDropped(Of.m_Pace);
   Of.m_Timer->cancel();
-  bool IsNew = !Of.m_Copy.m_IsComplete && !m_IsFollower &&
-               m_State.m_Settings.m_IsFirstStart &&
-               m_State.now() - m_StartedAt < PeersFirstTime;
+  bool IsNew = asksOnlyPeers(Of);
   if ((std::exchange(Of.m_AskPeer, false) || IsNew) && askPeer(Of))
     return;
   if (IsNew)
@@ -257,7 +265,15 @@
   pauseThenNext(Of);
 }
 
+bool DiscoveryHost::asksOnlyPeers(const Follower &Of) const {
+  return !Of.m_Copy.m_IsComplete && !m_IsFollower &&
+         m_State.m_Settings.m_IsFirstStart &&
+         m_State.now() - m_StartedAt < PeersFirstTime;
+}
+
 void DiscoveryHost::pauseThenNext(Follower &Of) {
+  if (asksOnlyPeers(Of))
+    return pause(Of, scale(PeersFirstPause, 0.5 + m_State.draw()));
   pause(Of, discovery::noteFailure(Of.m_Pace, m_State.draw()));
 }
 
@@ -282,8 +298,15 @@
 }
 
 bool DiscoveryHost::askPeer(Follower &Of) {
-  const fleet::Peer *Asked =
-      fleet::tablesSource(m_State.m_Fleet, m_State.draw());
+  bool IsWhole = !Of.m_Copy.m_IsComplete;
+  const fleet::Peer *Asked = fleet::tablesSource(
+      m_State.m_Fleet,
+      IsWhole ? fleet::TableNeed::Whole : fleet::TableNeed::Changes,
+      m_State.draw());
+  auto Announcer = m_State.m_Fleet.m_Peers.find(Of.m_AnnouncedBy);
+  if (Of.isBehind() && Announcer != m_State.m_Fleet.m_Peers.end() &&
+      Announcer->second.m_Alive)
+    Asked = &Announcer->second;
   if (!Asked)
     return false;
   Of.m_After = Of.m_Copy.m_IsComplete ? Of.m_Copy.m_At : 0;
@@ -296,7 +319,8 @@
   m_State.m_Metrics.count("peer_rows_asked");
   Of.m_IsWatch = false;
   call(Of, {Asked->m_Info.m_Host, m_State.m_Settings.m_Internal.m_Port},
-       std::move(Question), PeerTimeout, &DiscoveryHost::peerAnswered);
+       std::move(Question), IsWhole ? WholeTableTimeout : PeerTimeout,
+       &DiscoveryHost::peerAnswered);
   return true;
 }
 
@@ -428,7 +452,8 @@
   return Own;
 }
 
-void DiscoveryHost::takeFollowing(const fleet::Following &News) {
+void DiscoveryHost::takeFollowing(const fleet::Following &News,
+                                  const std::string &From) {
   for (size_t I = 0; I < m_Followers.size() && I < News.m_Versions.size();
        ++I) {
     Follower &Own = m_Followers[I];
@@ -436,6 +461,7 @@
       continue;
     Own.m_Announced = News.m_Versions[I];
     Own.m_AnnouncedAt = m_State.now();
+    Own.m_AnnouncedBy = From;
     Own.m_AskedPeer = false;
   }
   noteStoreSight();
@@ -452,9 +478,13 @@
 }
 
 Result<fleet::TableRows> DiscoveryHost::rowsAfter(uint32_t Table,
-                                                  uint64_t After) const {
+                                                  uint64_t After) {
   if (Table >= m_Followers.size() || !m_Followers[Table].m_Copy.m_IsComplete)
     return fail(ErrorCode::Unavailable, "the table is not known here");
+  bool IsLong =
+      After == 0 && m_Followers[Table].m_Copy.m_Rows.size() >= LongTableRows;
+  if (IsLong && !discovery::takeHandOver(m_HandOvers, m_State.now()))
+    return fail(ErrorCode::Unavailable, "others are being told");
   return fleet::TableRows{
       Table, After, discovery::changesAfter(m_Followers[Table].m_Copy, After)};
 }
@@ -495,6 +525,8 @@
 void DiscoveryHost::sweep() {
   updateRole();
   noteStoreSight();
+  dispatch::forgetOldNotices(m_State.m_Servers, m_State.m_Settings.m_Dispatch,
+                             m_State.now());
   std::vector<std::string> Over;
   for (const auto &[Id, Of] : m_State.m_Servers.m_Servers)
     if (m_State.now() >= Of.m_RemoveAt)
--- a/libs/gateway/src/DiscoveryHost.h
+++ b/libs/gateway/src/DiscoveryHost.h
@@ -33,12 +33,13 @@
   /// Rows that another VM passed on.
   void takeRows(const fleet::TableRows &News);
   /// How far another VM follows the store.
-  void takeFollowing(const fleet::Following &News);
+  void takeFollowing(const fleet::Following &News, const std::string &From);
   /// What this VM tells others; absent if it does not follow the store.
   std::optional<fleet::Following> ownFollowing() const;
-  /// What a follower that holds everything up to After has missed; fails with
-  /// Unavailable before this VM has read the table.
-  Result<fleet::TableRows> rowsAfter(uint32_t Table, uint64_t After) const;
+  /// What a follower that holds everything up to After has missed, or the
+  /// whole table if that is 0. Fails with Unavailable before this VM has read
+  /// the table, or while it hands the whole to as many others as it can.
+  Result<fleet::TableRows> rowsAfter(uint32_t Table, uint64_t After);
 
 private:
   struct Follower {
@@ -56,6 +57,8 @@
     /// Version of the newest change that another VM knows.
     uint64_t m_Announced = 0;
     TimePoint m_AnnouncedAt{};
+    /// Host of the VM that announced it first.
+    std::string m_AnnouncedBy;
     /// The call under way waits for news.
     bool m_IsWatch = false;
     /// The whole table is to be read; always so until it was read once.
@@ -84,6 +87,9 @@
   bool askPeer(Follower &Of);
   Duration watchTime(const Follower &Of) const;
   void peerAnswered(Follower &Of, const http::ExchangeResult &Result);
+  /// Whether this VM has no tables yet and leaves the store to others, since
+  /// the whole system starts.
+  bool asksOnlyPeers(const Follower &Of) const;
   void pauseThenNext(Follower &Of);
   void pause(Follower &Of, Duration Length);
   void dropCall(Follower &Of);
@@ -111,6 +117,7 @@
   std::array<Follower, FollowedTableCount> m_Followers;
   /// This VM follows the store: by its rank, or because no other does.
   bool m_IsFollower = false;
+  discovery::HandOvers m_HandOvers;
   TimePoint m_StartedAt{};
   /// When the store last answered this VM.
   TimePoint m_ConfirmedAt{};
--- a/libs/gateway/src/FleetHost.cpp
+++ b/libs/gateway/src/FleetHost.cpp
@@ -16,6 +16,13 @@
 /// Rows that a datagram carries; longer ones are fetched by whoever needs them.
 constexpr size_t MaxRowBytes = 12288;
 
+fleet::ServerReport reportOf(const dispatch::Server &Of) {
+  fleet::ServerReport Made{Of.m_Key, Of.m_Report, std::nullopt};
+  if (Of.m_SaidLeaving)
+    Made.m_LeavingIncarnation = Of.m_Record.m_Incarnation;
+  return Made;
+}
+
 } // namespace
 
 FleetHost::FleetHost(NodeState &State, Handlers To)
@@ -75,10 +82,67 @@
 void FleetHost::greet(const std::string &Host) {
   if (!fleet::learnHost(m_State.m_Fleet, Host, m_State.now()))
     return;
+  send(greeting(), Host);
+}
+
+std::string FleetHost::greeting() {
   fleet::Datagram Greeting = newDatagram();
   Greeting.m_Self = m_State.m_Fleet.m_Self;
   Greeting.m_IsGreeting = true;
-  send(fleet::encodeDatagram(Greeting), Host);
+  return fleet::encodeDatagram(Greeting);
+}
+
+void FleetHost::answerGreeting(const fleet::VmInfo &From) {
+  const fleet::VmInfo &Self = m_State.m_Fleet.m_Self;
+  fleet::Datagram Reply = newDatagram();
+  Reply.m_Self = Self;
+  // A VM meets those of its own data centre itself, and learns of the others
+  // from digests.
+  if (fleet::isLarge(m_State.m_Fleet, m_State.m_Settings.m_Fleeting)) {
+    Reply.m_KnownHosts = fleet::hostsToName(
+        m_State.m_Fleet, From.m_DataCentre,
+        m_State.m_Settings.m_Fleeting.m_NamedAtFirst, m_State.m_Random);
+    if (From.m_DataCentre != Self.m_DataCentre) {
+      Reply.m_Digests = fleet::contactsFor(
+          m_State.m_Fleet, m_State.m_Settings.m_Fleeting, From.m_DataCentre,
+          m_State.m_Random, m_State.now());
+      Reply.m_Digests.push_back(
+          fleet::digestOfOwn(m_State.m_Fleet, m_State.now()));
+    }
+  }
+  send(fleet::encodeDatagram(Reply), From.m_Host);
+}
+
+void FleetHost::takeDigests(const fleet::Datagram &Message,
+                            const fleet::VmInfo &From) {
+  fleet::Datagram Passed;
+  for (const fleet::Digest &Each : Message.m_Digests) {
+    fleet::DigestNews News = fleet::takeDigest(
+        m_State.m_Fleet, m_State.m_Settings.m_Fleeting, Each, m_State.now());
+    for (const std::string &Host : News.m_Restarted)
+      dispatch::forgetVm(m_State.m_Servers, fleet::vmKey(Host));
+    if (!News.m_Joined.empty() || !News.m_Restarted.empty())
+      logEvent(LogLevel::Info, "vms_told",
+               {{"data_centre", Each.m_DataCentre},
+                {"joined", News.m_Joined.size()},
+                {"restarted", News.m_Restarted.size()},
+                {"told_by", From.m_Host},
+                {"fleet_version", m_State.m_Fleet.m_Version}});
+    bool IsFromOutside =
+        From.m_DataCentre != m_State.m_Fleet.m_Self.m_DataCentre;
+    if (News.m_IsFresh && IsFromOutside)
+      Passed.m_Digests.push_back(Each);
+  }
+  if (Passed.m_Digests.empty())
+    return;
+  fleet::Datagram Numbered = newDatagram();
+  Numbered.m_Digests = std::move(Passed.m_Digests);
+  std::string Bytes = fleet::encodeDatagram(Numbered);
+  m_State.m_Metrics.count("digest_passed_on");
+  for (const auto &[Host, Known] : m_State.m_Fleet.m_Peers)
+    if (Known.m_Alive &&
+        Known.m_Info.m_DataCentre == m_State.m_Fleet.m_Self.m_DataCentre)
+      send(Bytes, Host);
 }
 
 std::string FleetHost::describeSelf() {
@@ -88,36 +152,60 @@
   for (const auto &[Id, Of] : m_State.m_Servers.m_Servers)
     if (Of.m_OwnInFlight > 0)
       Beat.m_InFlight.push_back({Of.m_Key, Of.m_OwnInFlight});
-  // A stretch of the others, starting anywhere.
-  const auto &Peers = m_State.m_Fleet.m_Peers;
   const fleet::FleetPolicy &Policy = m_State.m_Settings.m_Fleeting;
-  bool IsNew = m_State.now() - m_StartedAt < Policy.m_NewTime;
-  size_t Named = IsNew ? Policy.m_NamedAtFirst : Policy.m_NamedLater;
-  size_t Skipped =
-      Peers.size() <= Named ? 0 : m_State.m_Random() % (Peers.size() - Named);
-  for (const auto &[Host, Known] : Peers)
-    if (Known.m_Alive && Beat.m_KnownHosts.size() < Named) {
-      if (Skipped > 0)
-        --Skipped;
-      else
-        Beat.m_KnownHosts.push_back(Host);
-    }
+  size_t Named = isNew() ? Policy.m_NamedAtFirst : Policy.m_NamedLater;
+  std::string_view DataCentre;
+  if (fleet::isLarge(m_State.m_Fleet, Policy))
+    DataCentre = m_State.m_Fleet.m_Self.m_DataCentre;
+  Beat.m_KnownHosts =
+      fleet::hostsToName(m_State.m_Fleet, DataCentre, Named, m_State.m_Random);
   return fleet::encodeDatagram(Beat);
 }
 
+bool FleetHost::isNew() const {
+  return m_State.now() - m_StartedAt < m_State.m_Settings.m_Fleeting.m_NewTime;
+}
+
 void FleetHost::announce() {
   std::string Bytes = describeSelf();
+  // All must know who follows the store; the rest is in the next digests.
+  bool IsForAll =
+      m_Handlers.m_OwnFollowing() ||
+      !fleet::isLarge(m_State.m_Fleet, m_State.m_Settings.m_Fleeting);
   for (const auto &[Host, Known] : m_State.m_Fleet.m_Peers)
-    send(Bytes, Host);
+    if (IsForAll ||
+        Known.m_Info.m_DataCentre == m_State.m_Fleet.m_Self.m_DataCentre)
+      send(Bytes, Host);
 }
 
-void FleetHost::beat() {
-  ++m_Beats;
+void FleetHost::sendBeat() {
+  const fleet::FleetPolicy &Policy = m_State.m_Settings.m_Fleeting;
+  TimePoint Now = m_State.now();
+  // Timers fire a little early or late.
+  bool IsDue = isNew() || Now - m_DigestAt >= Policy.m_DigestInterval * 9 / 10;
+  fleet::BeatRecipients To = fleet::beatRecipients(
+      m_State.m_Fleet, Policy, IsDue, m_State.m_Random, Now);
   std::string Bytes = describeSelf();
-  for (const auto &[Host, Known] : m_State.m_Fleet.m_Peers)
-    if (fleet::isBeatFor(m_State.m_Fleet, m_State.m_Settings.m_Fleeting, Known,
-                         m_Beats))
+  for (const std::string &Host : To.m_Heartbeat)
+    send(Bytes, Host);
+  if (!To.m_Digest.empty()) {
+    m_DigestAt = Now;
+    fleet::Datagram Told = newDatagram();
+    Told.m_Self = m_State.m_Fleet.m_Self;
+    Told.m_Digests.push_back(fleet::digestOfOwn(m_State.m_Fleet, Now));
+    Bytes = fleet::encodeDatagram(Told);
+    for (const std::string &Host : To.m_Digest)
       send(Bytes, Host);
+  }
+  if (To.m_Greeting.empty())
+    return;
+  Bytes = greeting();
+  for (const std::string &Host : To.m_Greeting)
+    send(Bytes, Host);
+}
+
+void FleetHost::beat() {
+  sendBeat();
   TimePoint Now = m_State.now();
   for (const std::string &Host : fleet::expirePeers(
            m_State.m_Fleet, m_State.m_Settings.m_Fleeting, Now)) {
@@ -187,11 +275,10 @@
                 {"leaving", Info.m_Leaving},
                 {"incarnation", Info.m_Incarnation},
                 {"fleet_version", m_State.m_Fleet.m_Version}});
-    if (Message.m_IsGreeting || Change == fleet::HeardChange::Joined) {
-      fleet::Datagram Reply = newDatagram();
-      Reply.m_Self = m_State.m_Fleet.m_Self;
-      send(fleet::encodeDatagram(Reply), Host);
-    }
+    if (Message.m_IsGreeting || Change == fleet::HeardChange::Joined ||
+        fleet::needsContacts(m_State.m_Fleet, m_State.m_Settings.m_Fleeting,
+                             Info, !Message.m_Digests.empty()))
+      answerGreeting(Info);
   }
   bool IsNews = fleet::noteSequence(
       m_State.m_Fleet, Host, Message.m_Incarnation, Message.m_Sequence, Now);
@@ -199,6 +286,8 @@
     return;
   for (const std::string &Known : Message.m_KnownHosts)
     greet(Known);
+  if (!Message.m_Digests.empty())
+    takeDigests(Message, m_State.m_Fleet.m_Peers.at(Host).m_Info);
   // A heartbeat without it comes from a VM that does not follow the store.
   if (Message.m_Self || Message.m_Following) {
     fleet::Peer &Known = m_State.m_Fleet.m_Peers[Host];
@@ -208,7 +297,7 @@
       Known.m_StoreConfirmedAt = Now - Message.m_Following->m_ConfirmedAge;
   }
   if (Message.m_Following)
-    m_Handlers.m_FollowingNews(*Message.m_Following);
+    m_Handlers.m_FollowingNews(*Message.m_Following, Host);
   for (const fleet::TableRows &Each : Message.m_Rows)
     m_Handlers.m_RowNews(Each);
   auto &ByKey = m_State.m_Servers.m_ByKey;
@@ -217,6 +306,9 @@
     if (Found == ByKey.end())
       continue;
     noteReport(m_State, *Found->second, Each.m_Load);
+    if (Each.m_LeavingIncarnation)
+      noteLeaving(m_State, Found->second->m_Record.m_Id,
+                  *Each.m_LeavingIncarnation, "vm");
     m_Handlers.m_ServerNews(*Found->second);
   }
   if (!m_State.m_Settings.m_Dispatch.m_ShareInFlight)
@@ -258,6 +350,10 @@
   scheduleNews();
 }
 
+void FleetHost::tellLeaving(const dispatch::Server &Of) {
+  tellChecked({Of, {}, true});
+}
+
 void FleetHost::tellRows(const fleet::TableRows &Rows) {
   fleet::Datagram News = newDatagram();
   News.m_Following = m_Handlers.m_OwnFollowing();
@@ -302,40 +398,39 @@
 }
 
 void FleetHost::sendChecked() {
+  const fleet::FleetPolicy &Policy = m_State.m_Settings.m_Fleeting;
+  bool IsForAll = std::exchange(m_CheckedChange, false);
+  bool IsForUsers = !IsForAll && fleet::isLarge(m_State.m_Fleet, Policy);
   fleet::Datagram News = newDatagram();
-  std::set<std::string> Users = std::move(m_CheckStandbys);
-  auto &Servers = m_State.m_Servers.m_Servers;
-  for (const std::string &Id : m_CheckedToTell) {
-    auto Found = Servers.find(Id);
-    if (Found == Servers.end())
+  std::set<std::string> Users = std::exchange(m_CheckStandbys, {});
+  for (const std::string &Id : std::exchange(m_CheckedToTell, {})) {
+    auto Found = m_State.m_Servers.m_Servers.find(Id);
+    if (Found == m_State.m_Servers.m_Servers.end())
+      continue;
+    News.m_Reports.push_back(reportOf(Found->second));
+    if (!IsForUsers)
       continue;
-    News.m_Reports.push_back({Found->second.m_Key, Found->second.m_Report});
     const std::vector<std::string> &Hosts = usersOf(Found->second);
     Users.insert(Hosts.begin(), Hosts.end());
   }
-  m_CheckedToTell.clear();
-  m_CheckStandbys.clear();
   std::string Bytes = fleet::encodeDatagram(News);
-  if (std::exchange(m_CheckedChange, false))
+  if (IsForAll)
     return sendToAll(Bytes);
-  const fleet::FleetPolicy &Policy = m_State.m_Settings.m_Fleeting;
-  bool IsSmall = !fleet::isLarge(m_State.m_Fleet, Policy);
-  std::vector<std::string_view> Remote;
+  std::vector<const std::string *> Remote;
   for (const auto &[Host, Known] : m_State.m_Fleet.m_Peers) {
-    if (!Known.m_Alive || !(IsSmall || Users.count(Host)))
+    if (!Known.m_Alive || (IsForUsers && !Users.count(Host)))
       continue;
     if (Known.m_Info.m_DataCentre == m_State.m_Settings.m_DataCentre)
       send(Bytes, Host);
     else
-      Remote.push_back(Host);
+      Remote.push_back(&Host);
   }
   // VMs of other data centres send here less, and hear of it less often the
   // more of them there are.
   uint64_t Turns = 1 + Remote.size() / Policy.m_RemoteReceivers;
   uint64_t Turn = m_CheckedBatches++ % Turns;
-  for (size_t I = 0; I < Remote.size(); ++I)
-    if (I % Turns == Turn)
-      send(Bytes, std::string(Remote[I]));
+  for (size_t I = Turn; I < Remote.size(); I += Turns)
+    send(Bytes, *Remote[I]);
 }
 
 void FleetHost::sendNews() {
@@ -354,7 +449,7 @@
     News.m_InFlight.push_back(
         {Of.m_Key, Of.m_OwnInFlight, Told.m_Succeeded, Told.m_Failed});
     if (Told.m_WithReport)
-      News.m_Reports.push_back({Of.m_Key, Of.m_Report});
+      News.m_Reports.push_back(reportOf(Of));
   }
   m_NewsToTell.clear();
   for (auto &[Hosts, News] : ByUsers) {
--- a/libs/gateway/src/FleetHost.h
+++ b/libs/gateway/src/FleetHost.h
@@ -18,11 +18,12 @@
 public:
   struct Handlers {
     /// Another VM told something new of a server.
-    std::function<void(dispatch::Server &)> m_ServerNews;
+    std::function<void(const dispatch::Server &)> m_ServerNews;
     /// Another VM passed on rows of a followed table.
     std::function<void(const fleet::TableRows &)> m_RowNews;
     /// A VM that follows the store told how far it is.
-    std::function<void(const fleet::Following &)> m_FollowingNews;
+    std::function<void(const fleet::Following &, const std::string &Host)>
+        m_FollowingNews;
     /// What this VM tells others of its own following; absent if it does not.
     std::function<std::optional<fleet::Following>()> m_OwnFollowing;
   };
@@ -44,6 +45,8 @@
   /// Queues how an attempt ended, for the same datagram.
   void tellOutcome(const dispatch::Server &Of, bool Succeeded);
   void tellInFlight(const dispatch::Server &Of);
+  /// Queues for all VMs that a server has said that it leaves.
+  void tellLeaving(const dispatch::Server &Of);
   /// Tells all VMs that the store has answered this one just now.
   void tellConfirmed();
   /// Passes rows on to all VMs; if they are too many for a datagram, only that
@@ -55,6 +58,15 @@
   void received(size_t Bytes);
   void take(const fleet::Datagram &Message, const std::string &Host);
   void beat();
+  void sendBeat();
+  std::string greeting();
+  /// Tells a VM that has greeted this one, or was not known, whom to meet.
+  void answerGreeting(const fleet::VmInfo &From);
+  /// Takes in digests, and passes on within the data centre those from outside
+  /// that are news there.
+  void takeDigests(const fleet::Datagram &Message, const fleet::VmInfo &From);
+  /// Whether this VM has started so lately that it still meets the others.
+  bool isNew() const;
   /// How this VM is now, for a heartbeat.
   std::string describeSelf();
   void scheduleChecked();
@@ -94,7 +106,7 @@
   std::map<std::string, ServerNews> m_NewsToTell;
   std::map<std::string, Users> m_Users;
   uint64_t m_CheckedBatches = 0;
-  uint64_t m_Beats = 0;
+  TimePoint m_DigestAt{};
   TimePoint m_StartedAt{};
   int64_t m_Sequence = 0;
   boost::asio::ip::udp::endpoint m_From;
--- a/libs/gateway/src/HealthHost.cpp
+++ b/libs/gateway/src/HealthHost.cpp
@@ -63,7 +63,7 @@
 bool HealthHost::isDue(const dispatch::Server &Of, Check &Mine, TimePoint Now) {
   const dispatch::DispatchPolicy &Policy = m_State.m_Settings.m_Dispatch;
   bool IsIdle =
-      Of.m_Record.m_Leaving || dispatch::isCold(Of, Policy, Now) ||
+      dispatch::isLeaving(Of) || dispatch::isCold(Of, Policy, Now) ||
       m_State.m_Servers.m_OutDataCentres.count(Of.m_Record.m_DataCentre);
   Duration Interval =
       IsIdle ? SlowInterval : m_State.m_Settings.m_HealthInterval;
@@ -150,12 +150,13 @@
   m_State.m_Metrics.count("health_check");
   Mine.m_Call = m_State.m_Client.send(
       Of.m_Record.m_Address, Asked, std::chrono::seconds(30), nullptr,
-      [this, Id = Of.m_Record.m_Id](const http::ExchangeResult &Result) {
-        ended(Id, Result);
+      [this, Id = Of.m_Record.m_Id, Incarnation = Of.m_Record.m_Incarnation](
+          const http::ExchangeResult &Result) {
+        ended(Id, Incarnation, Result);
       });
 }
 
-void HealthHost::ended(const std::string &Id,
+void HealthHost::ended(const std::string &Id, int64_t Incarnation,
                        const http::ExchangeResult &Result) {
   auto Mine = m_Checks.find(Id);
   auto Found = m_State.m_Servers.m_Servers.find(Id);
@@ -167,6 +168,9 @@
   std::string Answered = m_State.m_Dialect.m_DecodeServerId(Result.m_Answer);
   if (!Answered.empty() && Answered != Id)
     return missed(Id, "other_server");
+  if (noteServerNotices(m_State, Id, Incarnation, Result.m_Answer, "check"))
+    m_Handler(
+        {Found->second, dutyFor(Found->second, Mine->second).m_Standbys, true});
   Mine->second.m_Misses = 0;
   auto Load = m_State.m_Dialect.m_DecodeLoad(Result.m_Answer);
   Mine->second.m_TellsLoad = Load.has_value();
--- a/libs/gateway/src/HealthHost.h
+++ b/libs/gateway/src/HealthHost.h
@@ -11,7 +11,7 @@
 /// What a health check found.
 struct CheckNews {
   /// With the new report in place.
-  dispatch::Server &m_Server;
+  const dispatch::Server &m_Server;
   /// VMs that hear of it whether they use the server or not.
   const std::vector<std::string> &m_Standbys;
   /// All VMs need to know.
@@ -56,7 +56,8 @@
   void regroup();
   void begin(const dispatch::Server &Of, Check &Mine,
              const routing::ServiceSettings &Service);
-  void ended(const std::string &Id, const http::ExchangeResult &Result);
+  void ended(const std::string &Id, int64_t Incarnation,
+             const http::ExchangeResult &Result);
   void missed(const std::string &Id, const char *Why);
   void report(dispatch::Server &Of, Check &Mine,
               const dispatch::LoadReport &Report);
--- a/libs/gateway/src/Node.cpp
+++ b/libs/gateway/src/Node.cpp
@@ -38,14 +38,15 @@
   Parts(boost::asio::io_context &Loop, const Clock &Time, Settings Given,
         const Dialect &Speech)
       : m_State(Loop, Time, std::move(Given), Speech),
-        m_Fleet(m_State, {[this](dispatch::Server &Of) { serverNews(Of); },
-                          [this](const fleet::TableRows &News) {
-                            m_Discovery.takeRows(News);
-                          },
-                          [this](const fleet::Following &News) {
-                            m_Discovery.takeFollowing(News);
-                          },
-                          [this] { return m_Discovery.ownFollowing(); }}),
+        m_Fleet(m_State,
+                {[this](const dispatch::Server &Of) { serverNews(Of); },
+                 [this](const fleet::TableRows &News) {
+                   m_Discovery.takeRows(News);
+                 },
+                 [this](const fleet::Following &News, const std::string &Host) {
+                   m_Discovery.takeFollowing(News, Host);
+                 },
+                 [this] { return m_Discovery.ownFollowing(); }}),
         m_Health(m_State,
                  [this](const CheckNews &News) {
                    m_Fleet.tellChecked(News);
@@ -59,7 +60,7 @@
         m_Internal(Loop, Time, [this](auto Asked) { answerInternal(Asked); }),
         m_UpkeepTimer(Loop) {}
 
-  void serverNews(dispatch::Server &Of);
+  void serverNews(const dispatch::Server &Of);
   void configurationChanged();
   void answerReadiness(const std::shared_ptr<http::Exchange> &Asked);
   void answerDirectory(const std::shared_ptr<http::Exchange> &Asked);
@@ -84,7 +85,7 @@
   std::function<void()> m_Ended;
 };
 
-void Node::Parts::serverNews(dispatch::Server &Of) {
+void Node::Parts::serverNews(const dispatch::Server &Of) {
   m_Calls.serverReported(Of);
   m_Calls.reconsiderSoon(Of.m_Record.m_Service);
 }
--- a/libs/gateway/src/NodeState.cpp
+++ b/libs/gateway/src/NodeState.cpp
@@ -1,4 +1,5 @@
 #include "NodeState.h"
+#include "hyssopcross/base/Log.h"
 
 namespace hyssopcross::gateway {
 
@@ -21,4 +22,40 @@
     ++State.m_ServersVersion;
 }
 
+bool noteLeaving(NodeState &State, const std::string &Id, int64_t Incarnation,
+                 const char *Source) {
+  if (!dispatch::noteLeaving(State.m_Servers, Id, Incarnation, State.now()))
+    return false;
+  ++State.m_ServersVersion;
+  State.m_Metrics.count("server_leaving");
+  logEvent(LogLevel::Info, "server_leaving",
+           {{"server", Id}, {"incarnation", Incarnation}, {"told_by", Source}});
+  return true;
+}
+
+bool noteServerNotices(NodeState &State, const std::string &Id,
+                       int64_t Incarnation, const http::Response &Answer,
+                       const char *Source) {
+  auto Refusal = State.m_Dialect.m_DecodeRefusalTime(Answer);
+  if (!Refusal) {
+    State.m_Metrics.count("refusal_time_malformed");
+    logEvent(LogLevel::Warning, "refusal_time_malformed",
+             {{"server", Id},
+              {"error", Refusal.error().m_Message},
+              {"outcome", "ignored"}});
+  } else if (Refusal.value()) {
+    Duration For = std::min(*Refusal.value(),
+                            State.m_Settings.m_Dispatch.m_MaxRefusalTime);
+    dispatch::noteRefusal(State.m_Servers, Id, Incarnation, For, State.now());
+    State.m_Metrics.count("server_refuses");
+    logEvent(LogLevel::Info, "server_refuses",
+             {{"server", Id},
+              {"told_by", Source},
+              {"told_ms", toMillis(*Refusal.value())},
+              {"for_ms", toMillis(For)}});
+  }
+  return State.m_Dialect.m_SaysLeaving(Answer) &&
+         noteLeaving(State, Id, Incarnation, Source);
+}
+
 } // namespace hyssopcross::gateway
--- a/libs/gateway/src/NodeState.h
+++ b/libs/gateway/src/NodeState.h
@@ -85,6 +85,17 @@
 void noteReport(NodeState &State, dispatch::Server &Of,
                 const dispatch::LoadReport &Report);
 
+/// Takes in what an incarnation of a server says of itself in an answer: that
+/// it leaves, or that it wants no requests for a time. Source names the kind of
+/// answer in the log. Returns whether it is news that the server leaves.
+bool noteServerNotices(NodeState &State, const std::string &Id,
+                       int64_t Incarnation, const http::Response &Answer,
+                       const char *Source);
+
+/// Takes in that an incarnation of a server leaves; returns whether it is news.
+bool noteLeaving(NodeState &State, const std::string &Id, int64_t Incarnation,
+                 const char *Source);
+
 /// A whole number of milliseconds, for log lines.
 inline int64_t toMillis(Duration Length) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Length).count();
