--- a/libs/fleet/tests/RelayTest.cpp
+++ b/libs/fleet/tests/RelayTest.cpp
@@ -291,13 +291,13 @@
     CHECK(Test.isKnown());
     if (Each.m_Vms < 30)
       continue;
-    uint32_t Local = (Each.m_Vms + Each.m_DataCentres - 1) / Each.m_DataCentres;
+    uint64_t Local = (Each.m_Vms + Each.m_DataCentres - 1) / Each.m_DataCentres;
+    uint64_t Others = Each.m_DataCentres - 1;
     // Of each other data centre, at most two receivers for each of three
     // relays in an interval.
-    uint64_t Digests = (Each.m_DataCentres - 1) * 6 * 5;
+    uint64_t Digests = Others * 6 * 5;
     CHECK(Test.mostReceived() <= Local * 11 + Digests);
-    CHECK(Test.crossed() <=
-          Each.m_DataCentres * (Each.m_DataCentres - 1) * 6 * 11 / 2);
+    CHECK(Test.crossed() <= Each.m_DataCentres * Others * 6 * 11 / 2);
   }
 }
 
