--- a/libs/gateway/src/HealthHost.cpp
+++ b/libs/gateway/src/HealthHost.cpp
@@ -168,9 +168,8 @@
   std::string Answered = m_State.m_Dialect.m_DecodeServerId(Result.m_Answer);
   if (!Answered.empty() && Answered != Id)
     return missed(Id, "other_server");
-  if (noteServerNotices(m_State, Id, Incarnation, Result.m_Answer, "check"))
-    m_Handler(
-        {Found->second, dutyFor(Found->second, Mine->second).m_Standbys, true});
+  bool LeavesNow =
+      noteServerNotices(m_State, Id, Incarnation, Result.m_Answer, "check");
   Mine->second.m_Misses = 0;
   auto Load = m_State.m_Dialect.m_DecodeLoad(Result.m_Answer);
   Mine->second.m_TellsLoad = Load.has_value();
@@ -181,7 +180,7 @@
                          .empty();
   if (Result.m_Answer.result_int() != 200 && !WasRefused)
     Report.m_Health = dispatch::LoadReport::Health::Unhealthy;
-  report(Found->second, Mine->second, Report);
+  report(Found->second, Mine->second, Report, LeavesNow);
 }
 
 void HealthHost::missed(const std::string &Id, const char *Why) {
@@ -201,11 +200,11 @@
               {"why", Why}});
   dispatch::LoadReport Report;
   Report.m_Health = dispatch::LoadReport::Health::Unreachable;
-  report(Found->second, Mine, Report);
+  report(Found->second, Mine, Report, false);
 }
 
 void HealthHost::report(dispatch::Server &Of, Check &Mine,
-                        const dispatch::LoadReport &Report) {
+                        const dispatch::LoadReport &Report, bool LeavesNow) {
   bool Changed =
       Of.m_Report.m_Health != Report.m_Health ||
       (Report.m_ColdFor > Duration(0)) != (Of.m_Report.m_ColdFor > Duration(0));
@@ -217,7 +216,7 @@
               {"cold_ms", toMillis(Report.m_ColdFor)},
               {"slowdown_pct", Report.m_SlowdownPercent}});
   // A cold server is used by one VM, which need not use it later.
-  bool IsForAll = Changed || Report.m_ColdFor > Duration(0);
+  bool IsForAll = Changed || LeavesNow || Report.m_ColdFor > Duration(0);
   m_Handler({Of, dutyFor(Of, Mine).m_Standbys, IsForAll});
 }
 
--- a/libs/gateway/src/HealthHost.h
+++ b/libs/gateway/src/HealthHost.h
@@ -59,8 +59,9 @@
   void ended(const std::string &Id, int64_t Incarnation,
              const http::ExchangeResult &Result);
   void missed(const std::string &Id, const char *Why);
+  /// LeavesNow: the check has told that the server leaves, and it is news.
   void report(dispatch::Server &Of, Check &Mine,
-              const dispatch::LoadReport &Report);
+              const dispatch::LoadReport &Report, bool LeavesNow);
 
   NodeState &m_State;
   Checked m_Handler;
