Let a server's failing share lower its rank, not a request's chance

Cause: where all servers of a service turn away or fail half of what they get, the share of failures lay in the chance of being in time, which fell under the threshold from which a request is sent. Ruled out: shortage of room (10 to 12 requests at a time at 25 servers of three slots, at their usual speed). Change: the share orders servers; it is no reason to refuse.

--- a/libs/dispatch/src/Choice.cpp
+++ b/libs/dispatch/src/Choice.cpp
@@ -72,9 +72,11 @@
       (Rated.m_IsRemote ? Policy.m_RemoteRoundTrip : Policy.m_LocalRoundTrip);
   Rated.m_Chance =
       chanceOf(Rated.m_Estimate, Call.m_ObjectiveAt - Now, Policy.m_WorkSpread);
-  if (Policy.m_AvoidFailing)
-    Rated.m_Chance *= 1 - failureShareOf(Of, Policy, Now);
   Rated.m_Score = Rated.m_Chance;
+  // What fails often comes last, but is no reason to refuse: a request that is
+  // not sent fails for sure.
+  if (Policy.m_AvoidFailing)
+    Rated.m_Score *= 1 - failureShareOf(Of, Policy, Now);
   if (Rated.m_IsRemote)
     Rated.m_Score -= Policy.m_RemoteCostPerMegabyte *
                      static_cast<double>(Call.m_Bytes) / BytesPerMegabyte;
