Call a request back at once that a server with a free slot turned away

Cause: after two servers had turned a request away, its caller was told to come back after a quarter of its time, when the objective was as good as over. That is right for full servers, whose queues need to drain, and wrong for servers that turn requests away at random while they have room. Ruled out: the shortest time for all (it adds to the load of full servers). Change: the load that a server tells with its refusal, or else what is known to be in flight there, decides which it was.

--- a/libs/dispatch/include/hyssopcross/dispatch/Choice.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Choice.h
@@ -97,6 +97,13 @@
                    double WarmupRate, Duration Remaining, std::mt19937 &Random,
                    TimePoint Now);
 
+/// When a request that servers turned away unexecuted should come back, with
+/// Left until its deadline. A server that had a free slot (HadRoom) did not turn
+/// it away for want of room, and the next one may take it; full servers need
+/// time to drain.
+Duration retryAfterShed(const DispatchPolicy &Policy, bool HadRoom,
+                        Duration Left);
+
 /// How an attempt ended, for what is learned of its server.
 enum class AttemptEnd {
   /// A whole answer below 500.
--- a/libs/dispatch/include/hyssopcross/dispatch/Policy.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Policy.h
@@ -50,6 +50,9 @@
   /// wait for up to a third of it.
   double m_RetryAfterShare = 0.3;
   Duration m_MinRetryAfter = std::chrono::milliseconds(30);
+  /// Retry-After of a request that full servers turned away, as a share of the
+  /// time left: early enough for another try, late enough for queues to drain.
+  double m_ShedRetryAfterShare = 0.25;
   /// Random time by which callers come back after servers' own refusals end, so
   /// that they don't all come at once.
   Duration m_RefusalSpread = std::chrono::milliseconds(100);
@@ -101,6 +104,7 @@
   bool m_ReserveForFresh = true;
   bool m_NewestFirst = true;
   bool m_AvoidFailing = true;
+  bool m_RetryShedSoon = true;
 };
 
 } // namespace hyssopcross::dispatch
--- a/libs/dispatch/src/Choice.cpp
+++ b/libs/dispatch/src/Choice.cpp
@@ -297,6 +297,15 @@
   return Made;
 }
 
+Duration retryAfterShed(const DispatchPolicy &Policy, bool HadRoom,
+                        Duration Left) {
+  Left = std::max(Duration(0), Left);
+  if (HadRoom && Policy.m_RetryShedSoon)
+    return Policy.m_MinRetryAfter;
+  return std::max(Policy.m_MinRetryAfter,
+                  scale(Left, Policy.m_ShedRetryAfterShare));
+}
+
 void noteSend(Server &To, const DispatchPolicy &Policy, TimePoint Now) {
   ++To.m_OwnInFlight;
   if (!isCold(To, Policy, Now))
--- a/libs/dispatch/tests/ChoiceTest.cpp
+++ b/libs/dispatch/tests/ChoiceTest.cpp
@@ -243,6 +243,26 @@
   CHECK(Refused.m_RetryAfter <= 800ms / 3);
 }
 
+TEST_CASE("a request that servers turned away returns when there is room") {
+  struct Case {
+    const char *m_Name;
+    bool m_HadRoom;
+    Duration m_Left;
+    Duration m_RetryAfter;
+  };
+  const Case Cases[] = {
+      {"the server had a free slot", true, 800ms, 30ms},
+      {"the server was full", false, 800ms, 200ms},
+      {"full, with little time left", false, 40ms, 30ms},
+      {"full, with no time left", false, -5ms, 30ms},
+  };
+  for (const Case &Each : Cases) {
+    CAPTURE(std::string(Each.m_Name));
+    CHECK(retryAfterShed(DispatchPolicy(), Each.m_HadRoom, Each.m_Left) ==
+          Each.m_RetryAfter);
+  }
+}
+
 TEST_CASE("a server that has been tried is not tried again") {
   ServerView View = viewOf({{"a"}, {"b"}});
   std::vector<std::string> Tried = {"a"};
--- a/libs/dispatch/tests/LoadPatternTest.cpp
+++ b/libs/dispatch/tests/LoadPatternTest.cpp
@@ -1,5 +1,6 @@
 #include "hyssopcross/dispatch/Choice.h"
 #include <algorithm>
+#include <cmath>
 #include <doctest/doctest.h>
 #include <list>
 #include <set>
@@ -24,10 +25,21 @@
   Duration m_Work;
   Duration m_Objective;
   Duration m_Deadline;
+  /// Share of the requests that servers turn away though they have room, and
+  /// whether callers who were refused come back once.
+  double m_ShedShare = 0;
+  bool m_CallersReturn = false;
 };
 
+/// Servers that one request may be sent to, until it is refused.
+constexpr size_t AttemptLimit = 2;
+
 struct Waiting {
   TimePoint m_ArrivedAt;
+  /// When the caller's present try began.
+  TimePoint m_CameAt;
+  bool m_HasReturned = false;
+  std::vector<std::string> m_Tried = {};
 };
 
 struct Running {
@@ -81,6 +93,7 @@
       double Rate = m_IsBurst ? m_Load.m_BurstRate : m_Load.m_CalmRate;
       if (draw() < Rate * 0.001)
         arrive();
+      comeBack();
       decideQueue();
     }
     return m_Outcome;
@@ -113,9 +126,9 @@
         m_View.m_Servers.at(First.m_Server), m_Policy, m_Now);
     if (First.m_IsHedged || !Remaining)
       return;
-    CallInputs Call = inputsOf({First.m_ArrivedAt});
-    std::vector<std::string> Tried = {First.m_Server};
-    Call.m_Tried = Tried;
+    Waiting Again{First.m_ArrivedAt, First.m_ArrivedAt};
+    Again.m_Tried = {First.m_Server};
+    CallInputs Call = inputsOf(Again);
     Choice Made = chooseHedge(
         m_View, m_Policy, Call, [](const Server &) { return true; }, 0,
         *Remaining, m_Random, m_Now);
@@ -123,14 +136,30 @@
         Made.m_Chance < m_Policy.m_GoodChance)
       return;
     First.m_IsHedged = true;
-    run(*Made.m_Server, {First.m_ArrivedAt}, Made, First.m_Request);
+    run(*Made.m_Server, Again, Made, First.m_Request);
     m_Running.back().m_IsHedged = true;
   }
 
   void arrive() {
     if (m_IsBurst)
       ++m_Outcome.m_Asked;
-    m_Queue.push_back({m_Now});
+    m_Queue.push_back({m_Now, m_Now});
+  }
+
+  /// Callers who were refused return when they were told to.
+  void comeBack() {
+    auto Due = m_Returns.begin();
+    for (; Due != m_Returns.end() && Due->first <= m_Now;
+         Due = m_Returns.erase(Due))
+      m_Queue.push_back({Due->second, m_Now, true});
+  }
+
+  void refuse(const Waiting &Of, Duration RetryAfter) {
+    Duration Left = Of.m_ArrivedAt + m_Load.m_Deadline - m_Now;
+    if (m_Load.m_CallersReturn && !Of.m_HasReturned)
+      m_Returns.emplace(m_Now + std::min(RetryAfter, Left / 3), Of.m_ArrivedAt);
+    else if (isCounted(Of.m_ArrivedAt))
+      ++m_Outcome.m_Refused;
   }
 
   void endRunning() {
@@ -174,15 +203,17 @@
     Call.m_Service = "service";
     Call.m_ObjectiveAt = Of.m_ArrivedAt + m_Load.m_Objective;
     Call.m_EndAt = Of.m_ArrivedAt + m_Load.m_Deadline;
-    Call.m_QueueUntil =
-        Of.m_ArrivedAt + (m_Load.m_Objective - m_Load.m_Work) * 6 / 10;
+    Duration Slack =
+        std::max(Duration(0), Call.m_ObjectiveAt - Of.m_CameAt - m_Load.m_Work);
+    Call.m_QueueUntil = Of.m_CameAt + Slack * 6 / 10;
     Call.m_Work = m_Load.m_Work;
+    Call.m_Tried = Of.m_Tried;
     Call.m_IsPressed = m_Now < m_PressedUntil;
     return Call;
   }
 
   /// True once the request is sent or refused.
-  bool decide(const Waiting &Of) {
+  bool decide(Waiting &Of) {
     CallInputs Call = inputsOf(Of);
     Choice Made = choose(
         m_View, m_Policy, Call, [](const Server &) { return true; }, 0,
@@ -193,14 +224,28 @@
     if (Made.m_Verdict == Verdict::Wait)
       return false;
     if (Made.m_Verdict == Verdict::Refuse) {
-      if (isCounted(Of.m_ArrivedAt))
-        ++m_Outcome.m_Refused;
+      refuse(Of, Made.m_RetryAfter);
       return true;
     }
+    if (m_Load.m_ShedShare > 0 && draw() < m_Load.m_ShedShare)
+      return shed(*Made.m_Server, Of);
     run(*Made.m_Server, Of, Made, ++m_Requests);
     return true;
   }
 
+  /// The server turns the request away; true once it is refused.
+  bool shed(Server &At, Waiting &Of) {
+    bool HadRoom = At.m_OwnInFlight < m_Load.m_Slots;
+    noteSend(At, m_Policy, m_Now);
+    noteEnd(At, m_Policy, AttemptEnd::Shed, 1ms, 0ms, m_Now);
+    Of.m_Tried.push_back(At.m_Record.m_Id);
+    if (Of.m_Tried.size() < AttemptLimit)
+      return decide(Of);
+    refuse(Of, retryAfterShed(m_Policy, HadRoom,
+                              Of.m_ArrivedAt + m_Load.m_Deadline - m_Now));
+    return true;
+  }
+
   void run(Server &At, const Waiting &Of, const Choice &Made,
            uint32_t Request) {
     noteSend(At, m_Policy, m_Now);
@@ -224,6 +269,8 @@
   ServerView m_View;
   std::map<std::string, bool> m_Slow;
   std::list<Waiting> m_Queue;
+  /// When callers come back, and when they first came.
+  std::multimap<TimePoint, TimePoint> m_Returns;
   std::list<Running> m_Running;
   std::set<uint32_t> m_Answered;
   uint32_t m_Requests = 0;
@@ -278,6 +325,19 @@
                                  250ms,
                                  2000ms};
 
+const Pattern SheddingServers = {
+    "servers that turn away 55 in 100 though they have room",
+    9,
+    3,
+    0.25,
+    60,
+    60,
+    90ms,
+    250ms,
+    800ms,
+    0.55,
+    true};
+
 } // namespace
 
 TEST_CASE("slowed servers are avoided") {
@@ -298,6 +358,20 @@
   CHECK(With.m_Late * 4 <= Off.m_Late * 3);
 }
 
+TEST_CASE("servers that turn requests away while they have room are asked on") {
+  // Pattern: all servers of a service shed at random, healthy and not full. Two
+  // servers a try and one return take 1 - 0.55^4 of the requests in.
+  Outcome Played = playSeeds(SheddingServers, DispatchPolicy());
+  double Taken = 1 - std::pow(0.55, 4);
+  CAPTURE(Played.m_Refused);
+  CHECK(inTimeShare(Played) >= 0.85 * Taken);
+
+  // Told to return later, a caller comes when its objective is as good as over.
+  DispatchPolicy Without;
+  Without.m_RetryShedSoon = false;
+  CHECK(inTimeShare(Played) > inTimeShare(playSeeds(SheddingServers, Without)));
+}
+
 TEST_CASE("a burst beyond capacity is served in time up to the capacity") {
   struct Case {
     const Pattern &m_Load;
--- a/libs/gateway/src/CallAttempts.cpp
+++ b/libs/gateway/src/CallAttempts.cpp
@@ -12,9 +12,6 @@
 /// Idle age up to which a connection carries a request that runs once: the
 /// longer it was idle, the likelier the server has dropped it unseen.
 constexpr Duration OnceMaxIdle = std::chrono::seconds(3);
-/// A request that all tried servers refused comes back after this part of the
-/// time left: early enough for another try, late enough for queues to drain.
-constexpr int ShedRetryShare = 4;
 constexpr Duration AnyMaxIdle = std::chrono::seconds(60);
 
 } // namespace
@@ -246,6 +243,18 @@
   return Made;
 }
 
+bool CallHost::hadRoom(const Attempt &Which,
+                       const http::Response &Refusal) const {
+  auto Found = m_State.m_Servers.m_Servers.find(Which.m_Server);
+  if (Found == m_State.m_Servers.m_Servers.end())
+    return false;
+  const dispatch::Server &At = Found->second;
+  auto Load = m_State.m_Dialect.m_DecodeLoad(Refusal);
+  uint32_t Busy = Load ? Load->m_Running + Load->m_Waiting
+                       : dispatch::inFlightAt(At, m_State.now());
+  return Busy < At.m_Record.m_Slots;
+}
+
 void CallHost::attemptEnded(const CallRef &Of,
                             const std::shared_ptr<Attempt> &Which,
                             http::ExchangeResult Result) {
@@ -261,6 +270,8 @@
   if (Result.m_End == http::ExchangeEnd::NotSent)
     --Of->m_Arrivals;
   Of->m_MayHaveRun = Of->m_MayHaveRun || !How.m_NotRun;
+  Of->m_ShedWithRoom =
+      End == dispatch::AttemptEnd::Shed && hadRoom(*Which, Result.m_Answer);
   Of->m_LastEnd = How.m_Name;
   if (!How.m_IsGood) {
     m_State.m_Metrics.count("attempt_" + How.m_Name);
@@ -294,7 +305,10 @@
     return passOn(Of, std::move(Result.m_Answer));
   if (Of->m_MayHaveRun)
     return failCall(Of, 502, Of->m_LastEnd.c_str());
-  refuse(Of, 503, "shed", (Of->m_EndAt - m_State.now()) / ShedRetryShare);
+  refuse(Of, 503, Of->m_ShedWithRoom ? "shed_with_room" : "shed",
+         dispatch::retryAfterShed(m_State.m_Settings.m_Dispatch,
+                                  Of->m_ShedWithRoom,
+                                  Of->m_EndAt - m_State.now()));
 }
 
 void CallHost::endAttempts(const CallRef &Of) {
--- a/libs/gateway/src/CallHost.h
+++ b/libs/gateway/src/CallHost.h
@@ -65,6 +65,8 @@
     /// Sends that reached, or may have reached, a server.
     uint32_t m_Arrivals = 0;
     bool m_MayHaveRun = false;
+    /// The last attempt was turned away by a server that had a free slot.
+    bool m_ShedWithRoom = false;
     bool m_IsQueued = false;
     bool m_HedgeConsidered = false;
     bool m_Ended = false;
@@ -90,6 +92,9 @@
     std::string m_Name;
   };
   Ending classify(const http::ExchangeResult &Result) const;
+  /// Whether a server that turned an attempt away had a free slot, by the load
+  /// that it told with its refusal, or else by what is known to be in flight.
+  bool hadRoom(const Attempt &Which, const http::Response &Refusal) const;
   void settle(const CallRef &Of, const Ending &How,
               http::ExchangeResult Result);
 
