Learn how servers stretch work as they fill, and how long their speed holds

Cause: the occupancy from which servers slow down, by how much, how long a told speed holds and what to expect without one were constants. Change: dispatch::ServiceModel. Answers give the stretch at an occupancy step; a monotone fit outweighs the assumption after ten answers a step. Reports of speed give rates of slow spells. What an answer told travels in the datagram that tells its outcome, so a VM that starts again has it after some seconds. An answer counts for at most a factor of two, old ones fade. The number of requests at a time follows from the curve and the request's objective; a slot is left empty only for a tenth more finished in time.

--- a/libs/dispatch/include/hyssopcross/dispatch/Choice.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Choice.h
@@ -23,6 +23,8 @@
   TimePoint m_QueueUntil;
   /// Service time on an idle server at its usual speed.
   Duration m_Work{};
+  /// Latency objective of a request that has not waited yet.
+  Duration m_Objective{};
   /// Bytes of request and answer, for the price of other data centres.
   uint64_t m_Bytes = 0;
   /// Servers that this call was sent to before.
@@ -46,6 +48,7 @@
   /// Chance that the objective is met.
   double m_Chance = 0;
   double m_Slowdown = 0;
+  /// Requests at the server beside this one.
   uint32_t m_InFlight = 0;
   Duration m_ReportAge{};
   /// Stable reason of a refusal: no_server, overload, no_time.
@@ -98,9 +101,9 @@
                    TimePoint Now);
 
 /// When a request that servers turned away unexecuted should come back, with
-/// Left until its deadline. A server that had a free slot (HadRoom) did not turn
-/// it away for want of room, and the next one may take it; full servers need
-/// time to drain.
+/// Left until its deadline. A server that had a free slot (HadRoom) did not
+/// turn it away for want of room, and the next one may take it; full servers
+/// need time to drain.
 Duration retryAfterShed(const DispatchPolicy &Policy, bool HadRoom,
                         Duration Left);
 
@@ -122,9 +125,10 @@
 void noteEnd(Server &At, const DispatchPolicy &Policy, AttemptEnd End,
              Duration Took, Duration Expected, TimePoint Now);
 
-/// The number of requests at a time with which a server that slows down when
-/// nearly full serves most.
-uint32_t usableSlots(uint32_t Slots, const DispatchPolicy &Policy);
+/// The number of requests at a time with which a server of a service finishes
+/// most in time, for requests of this kind.
+uint32_t usableSlots(const OccupancyCurve &Curve, uint32_t Slots, Duration Work,
+                     Duration Objective, const DispatchPolicy &Policy);
 
 /// The chance that work of a log-normal length with this median ends within
 /// the time left.
--- a/libs/dispatch/include/hyssopcross/dispatch/Policy.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Policy.h
@@ -16,7 +16,8 @@
   double m_WorkGain = 0.1;
   /// Spread of service times, as the standard deviation of their logarithm.
   double m_WorkSpread = 0.4;
-  /// Occupancy above which servers slow down, and how much.
+  /// Occupancy above which servers slow down, and how much; assumed until their
+  /// answers tell.
   double m_KneeOccupancy = 0.8;
   double m_KneeSlowdown = 1.7;
   /// Round trip within a data centre and to another one.
@@ -25,10 +26,12 @@
   /// What a megabyte between data centres costs, in requests of ordinary
   /// worth.
   double m_RemoteCostPerMegabyte = 5.0;
-  /// A report older than this says nothing about the present speed.
+  /// Time in which the weight of a report of a server's speed falls to 1/e,
+  /// expected slowdown in percent where no fresh report tells, and slowdown of
+  /// a slow spell; assumed until reports tell.
   Duration m_SpeedMemory = std::chrono::milliseconds(300);
-  /// Expected slowdown, in percent, where no fresh report tells.
   double m_UnknownSlowdown = 175;
+  double m_SpellSlowdown = 400;
   /// Without a good report for this long, a server may have started anew: it
   /// is treated as cold.
   Duration m_ConfirmationAge = std::chrono::milliseconds(1200);
@@ -37,6 +40,12 @@
   double m_WarmupShare = 0.6;
   /// How much slower a cold server is, in percent.
   double m_ColdSlowdown = 200;
+  /// What a late answer is worth beside one in time, for how many requests at a
+  /// time serve most.
+  double m_LateValue = 0.3;
+  /// Share by which fewer requests at a time must finish more, for a slot to be
+  /// left empty: what was learned of the stretch is uncertain by some tenths.
+  double m_FewerSlotsGain = 0.1;
   /// Chance of meeting the objective from which a request is sent at once.
   double m_GoodChance = 0.5;
   /// Part of the remaining objective that a request may spend in the queue.
@@ -94,6 +103,7 @@
   Duration m_SlowStartTime = std::chrono::milliseconds(60);
   double m_SlowStartFactor = 2.0;
 
+  bool m_LearnServers = true;
   bool m_Queue = true;
   bool m_RefuseHopeless = true;
   bool m_ServeLate = true;
--- a/libs/dispatch/include/hyssopcross/dispatch/Servers.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Servers.h
@@ -4,6 +4,7 @@
 #include "hyssopcross/base/Clock.h"
 #include "hyssopcross/base/Settings.h"
 #include "hyssopcross/dispatch/Policy.h"
+#include "hyssopcross/dispatch/ServiceModel.h"
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -68,6 +69,8 @@
 
 struct Server {
   ServerRecord m_Record;
+  /// What was learned of its service's servers; lives as long as the view.
+  ServiceModel *m_Model = nullptr;
   ServerKey m_Key = 0;
   LoadReport m_Report;
   /// When the report arrived here; zero before the first one.
@@ -112,6 +115,8 @@
   /// Data centres whose servers operators have taken out.
   std::set<std::string, std::less<>> m_OutDataCentres;
   std::string m_OwnDataCentre;
+  /// By service; kept while a service has no servers.
+  std::map<std::string, ServiceModel, std::less<>> m_Models;
   /// By server id, for servers that are listed or may be listed again.
   std::map<std::string, ServerNotice, std::less<>> m_Notices;
 };
@@ -184,6 +189,10 @@
 bool isCold(const Server &Of, const DispatchPolicy &Policy, TimePoint Now);
 
 /// The present slowdown in percent, from the last report and its age.
+double reportedSlowdown(const Server &Of, const DispatchPolicy &Policy,
+                        TimePoint Now);
+
+/// The same times what the server's own answers add to it.
 double slowdownOf(const Server &Of, const DispatchPolicy &Policy,
                   TimePoint Now);
 
--- a/libs/dispatch/src/Choice.cpp
+++ b/libs/dispatch/src/Choice.cpp
@@ -63,10 +63,11 @@
   Rated.m_Slowdown = slowdownOf(Of, Policy, Now);
   Rated.m_IsRemote = Of.m_Record.m_DataCentre != View.m_OwnDataCentre;
   uint32_t Slots = std::max(1U, Of.m_Record.m_Slots);
-  Rated.m_HasRoom = Rated.m_InFlight < usableSlots(Slots, Policy);
-  double Stretch = Rated.m_Slowdown / 100;
-  if (Rated.m_InFlight + 1 > Policy.m_KneeOccupancy * Slots)
-    Stretch *= Policy.m_KneeSlowdown;
+  const OccupancyCurve &Curve = Of.m_Model->m_Curve;
+  Rated.m_HasRoom = Rated.m_InFlight < usableSlots(Curve, Slots, Call.m_Work,
+                                                   Call.m_Objective, Policy);
+  double Stretch = Rated.m_Slowdown / 100 *
+                   occupancyStretch(Curve, Policy, Rated.m_InFlight + 1, Slots);
   Rated.m_Estimate =
       scale(Call.m_Work, Stretch) +
       (Rated.m_IsRemote ? Policy.m_RemoteRoundTrip : Policy.m_LocalRoundTrip);
@@ -194,14 +195,24 @@
 
 } // namespace
 
-uint32_t usableSlots(uint32_t Slots, const DispatchPolicy &Policy) {
-  auto Knee = static_cast<uint32_t>(
-      std::floor(Policy.m_KneeOccupancy * static_cast<double>(Slots)));
-  Knee = std::max(1U, std::min(Knee, Slots));
-  // On a saturated server each request starts beside as many others, and pays
-  // the slowdown of the last slot.
-  double AllSlots = static_cast<double>(Slots) / Policy.m_KneeSlowdown;
-  return AllSlots > static_cast<double>(Knee) ? Slots : Knee;
+uint32_t usableSlots(const OccupancyCurve &Curve, uint32_t Slots, Duration Work,
+                     Duration Objective, const DispatchPolicy &Policy) {
+  uint32_t Best = 1;
+  double Most = 0;
+  for (uint32_t Count = 1; Count <= Slots; ++Count) {
+    // On a saturated server each request starts beside as many others, and pays
+    // the stretch of the last slot.
+    double Stretch = occupancyStretch(Curve, Policy, Count, Slots);
+    double InTime =
+        chanceOf(scale(Work, Stretch), Objective, Policy.m_WorkSpread);
+    double Value = InTime + Policy.m_LateValue * (1 - InTime);
+    double Finished = Count / Stretch * Value;
+    if (Finished < Most * (1 - Policy.m_FewerSlotsGain))
+      continue;
+    Most = std::max(Most, Finished);
+    Best = Count;
+  }
+  return Best;
 }
 
 bool endsBeforeStop(const StopTimes &Stop, const DispatchPolicy &Policy,
--- a/libs/dispatch/src/Servers.cpp
+++ b/libs/dispatch/src/Servers.cpp
@@ -59,6 +59,7 @@
 void indexServer(ServerView &View, Server &Of) {
   View.m_ByKey[Of.m_Key] = &Of;
   View.m_ByService[Of.m_Record.m_Service].push_back(&Of);
+  Of.m_Model = &View.m_Models[Of.m_Record.m_Service];
 }
 
 void dropFromIndex(ServerView &View, Server &Of) {
@@ -182,6 +183,10 @@
   TimePoint At = Now - Age;
   if (At < Of.m_ReportAt)
     return;
+  if (Of.m_ReportAt != TimePoint{} &&
+      Report.m_Health == LoadReport::Health::Healthy)
+    noteSpeeds(Of.m_Model->m_Spells, Of.m_Report.m_SlowdownPercent,
+               Report.m_SlowdownPercent, At - Of.m_ReportAt);
   Of.m_Report = Report;
   Of.m_ReportAt = At;
   if (Report.m_ColdFor > Duration(0))
@@ -245,19 +250,23 @@
          Now - Of.m_ConfirmedAt > Policy.m_ConfirmationAge;
 }
 
-double slowdownOf(const Server &Of, const DispatchPolicy &Policy,
-                  TimePoint Now) {
-  double Unknown = Policy.m_UnknownSlowdown;
+double reportedSlowdown(const Server &Of, const DispatchPolicy &Policy,
+                        TimePoint Now) {
+  SpellForecast Forecast = forecastOf(Of.m_Model->m_Spells, Policy);
   if (Of.m_ReportAt == TimePoint{})
-    return Unknown;
+    return Forecast.m_UnknownPercent;
   double Age = std::chrono::duration<double>(Now - Of.m_ReportAt).count();
-  double Memory = std::chrono::duration<double>(Policy.m_SpeedMemory).count();
-  double Trust = std::exp(-std::max(0.0, Age) / Memory);
-  double Slowdown =
-      Trust * Of.m_Report.m_SlowdownPercent + (1 - Trust) * Unknown;
-  if (Now < Of.m_ColdUntil)
+  double Trust = std::exp(-std::max(0.0, Age) / Forecast.m_MemorySeconds);
+  return Trust * Of.m_Report.m_SlowdownPercent +
+         (1 - Trust) * Forecast.m_UnknownPercent;
+}
+
+double slowdownOf(const Server &Of, const DispatchPolicy &Policy,
+                  TimePoint Now) {
+  double Slowdown = reportedSlowdown(Of, Policy, Now) * Of.m_SlowRatio;
+  if (Of.m_ReportAt != TimePoint{} && Now < Of.m_ColdUntil)
     Slowdown *= Policy.m_ColdSlowdown / 100;
-  return Slowdown * Of.m_SlowRatio;
+  return Slowdown;
 }
 
 } // namespace hyssopcross::dispatch
--- a/libs/dispatch/tests/ChoiceTest.cpp
+++ b/libs/dispatch/tests/ChoiceTest.cpp
@@ -54,6 +54,7 @@
   Call.m_EndAt = Start + 800ms;
   Call.m_QueueUntil = Start;
   Call.m_Work = 60ms;
+  Call.m_Objective = 200ms;
   return Call;
 }
 
@@ -315,7 +316,8 @@
   // 2/1.7 > 1, three of three only 3/1.7 < 2.
   const Case Cases[] = {{1, 1}, {2, 2}, {3, 2}, {4, 3}, {8, 6}};
   for (const Case &Each : Cases)
-    CHECK(usableSlots(Each.m_Slots, Policy) == Each.m_Usable);
+    CHECK(usableSlots(OccupancyCurve(), Each.m_Slots, 60ms, 200ms, Policy) ==
+          Each.m_Usable);
 }
 
 TEST_CASE("a server that fails again and again gets nothing for a while") {
--- a/libs/dispatch/tests/LoadPatternTest.cpp
+++ b/libs/dispatch/tests/LoadPatternTest.cpp
@@ -207,6 +207,7 @@
         std::max(Duration(0), Call.m_ObjectiveAt - Of.m_CameAt - m_Load.m_Work);
     Call.m_QueueUntil = Of.m_CameAt + Slack * 6 / 10;
     Call.m_Work = m_Load.m_Work;
+    Call.m_Objective = m_Load.m_Objective;
     Call.m_Tried = Of.m_Tried;
     Call.m_IsPressed = m_Now < m_PressedUntil;
     return Call;
@@ -282,7 +283,7 @@
 
 Outcome playSeeds(const Pattern &Load, const DispatchPolicy &Policy) {
   Outcome Sum;
-  for (uint32_t Seed = 1; Seed <= 5; ++Seed) {
+  for (uint32_t Seed = 1; Seed <= 40; ++Seed) {
     Outcome One = Simulation(Load, Policy, Seed).play();
     Sum.m_Asked += One.m_Asked;
     Sum.m_InTime += One.m_InTime;
--- a/libs/fleet/fleet.thrift
+++ b/libs/fleet/fleet.thrift
@@ -68,6 +68,10 @@
   // failure or a refusal.
   3: optional i16 succeeded,
   4: optional i16 failed,
+  // Of the last answer: requests at the server when its request began, itself
+  // included, and its service time over the usual one at the server's speed.
+  5: optional i16 beganBeside,
+  6: optional i16 stretchPercent,
 }
 
 // An entry VM as the relays of its data centre describe it.
--- a/libs/fleet/include/hyssopcross/fleet/Datagram.h
+++ b/libs/fleet/include/hyssopcross/fleet/Datagram.h
@@ -28,6 +28,9 @@
   /// Attempts of the sender that ended since it last told.
   uint32_t m_Succeeded = 0;
   uint32_t m_Failed = 0;
+  /// What the last of their answers told of the server's service; the slots are
+  /// for the receiver to fill in.
+  std::optional<dispatch::StretchObservation> m_Stretch = std::nullopt;
 };
 
 /// Rows of a followed table that one VM passes on to others.
--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -21,6 +21,10 @@
   return static_cast<int16_t>(std::min<uint32_t>(Count, INT16_MAX));
 }
 
+uint32_t fromSmall(int16_t Count) {
+  return static_cast<uint32_t>(std::max<int16_t>(0, Count));
+}
+
 /// Whole milliseconds, cut to what the message can hold.
 int32_t toMillis32(Duration Length) {
   auto Millis = std::chrono::duration_cast<std::chrono::milliseconds>(Length);
@@ -74,6 +78,20 @@
   return Made;
 }
 
+ServerInFlight fromWire(const wire::InFlight &From) {
+  ServerInFlight Made;
+  Made.m_Server = static_cast<uint32_t>(From.server);
+  Made.m_Count = fromSmall(From.count);
+  Made.m_Succeeded = fromSmall(From.succeeded);
+  Made.m_Failed = fromSmall(From.failed);
+  if (From.__isset.beganBeside && From.__isset.stretchPercent) {
+    Made.m_Stretch.emplace();
+    Made.m_Stretch->m_InFlight = fromSmall(From.beganBeside);
+    Made.m_Stretch->m_Ratio = fromSmall(From.stretchPercent) / 100.0;
+  }
+  return Made;
+}
+
 wire::Rows toWire(const TableRows &From) {
   wire::Rows Made;
   Made.table = static_cast<int8_t>(From.m_Table);
@@ -201,6 +219,11 @@
         Count.__set_succeeded(toSmall(Each.m_Succeeded));
       if (Each.m_Failed > 0)
         Count.__set_failed(toSmall(Each.m_Failed));
+      if (Each.m_Stretch) {
+        Count.__set_beganBeside(toSmall(Each.m_Stretch->m_InFlight));
+        Count.__set_stretchPercent(
+            toSmall(static_cast<uint32_t>(Each.m_Stretch->m_Ratio * 100)));
+      }
       Made.inFlight.push_back(Count);
     }
   }
@@ -250,11 +273,7 @@
   for (const wire::Report &Each : Read.reports)
     Made.m_Reports.push_back(fromWire(Each));
   for (const wire::InFlight &Each : Read.inFlight)
-    Made.m_InFlight.push_back(
-        {static_cast<uint32_t>(Each.server),
-         static_cast<uint32_t>(std::max<int16_t>(0, Each.count)),
-         static_cast<uint32_t>(std::max<int16_t>(0, Each.succeeded)),
-         static_cast<uint32_t>(std::max<int16_t>(0, Each.failed))});
+    Made.m_InFlight.push_back(fromWire(Each));
   Made.m_KnownHosts = std::move(Read.known);
   if (Read.__isset.following) {
     Made.m_Following.emplace();
--- a/libs/gateway/src/CallAttempts.cpp
+++ b/libs/gateway/src/CallAttempts.cpp
@@ -42,6 +42,13 @@
   Duration Work = expectedWork(*Of->m_Route);
   Which->m_Stretch = static_cast<double>(Made.m_Estimate.count()) /
                      static_cast<double>(std::max<int64_t>(1, Work.count()));
+  Which->m_InFlight = Made.m_InFlight + 1;
+  if (knownWork(*Of->m_Route).m_Work > Duration(0) &&
+      !dispatch::isCold(To, m_State.m_Settings.m_Dispatch, Now))
+    Which->m_AloneTime = scale(
+        Work,
+        dispatch::reportedSlowdown(To, m_State.m_Settings.m_Dispatch, Now) /
+            100);
   Of->m_Last = Made;
   Of->m_Last.m_Server = nullptr;
   Of->m_Tried.push_back(To.m_Record.m_Id);
@@ -202,7 +209,16 @@
   bool WasEjected = Now < At.m_EjectedUntil;
   dispatch::noteEnd(At, m_State.m_Settings.m_Dispatch, End, Took,
                     Which.m_Expected, Now);
-  m_Fleet.tellOutcome(At, End == dispatch::AttemptEnd::Answered);
+  std::optional<dispatch::StretchObservation> Seen;
+  if (End == dispatch::AttemptEnd::Answered &&
+      Which.m_AloneTime > Duration(0)) {
+    Seen = {Which.m_InFlight, At.m_Record.m_Slots,
+            static_cast<double>(Took.count()) /
+                static_cast<double>(Which.m_AloneTime.count())};
+    dispatch::noteStretch(At.m_Model->m_Curve, m_State.m_Settings.m_Dispatch,
+                          *Seen);
+  }
+  m_Fleet.tellOutcome(At, End == dispatch::AttemptEnd::Answered, Seen);
   if (LeavesNow)
     m_Fleet.tellLeaving(At);
   if (!WasEjected && Now < At.m_EjectedUntil)
--- a/libs/gateway/src/CallHost.cpp
+++ b/libs/gateway/src/CallHost.cpp
@@ -145,6 +145,7 @@
   Inputs.m_QueueUntil = Of->m_QueueUntil;
   Inputs.m_Tried = Of->m_Tried;
   Inputs.m_Work = expectedWork(Route);
+  Inputs.m_Objective = Route.m_Objective;
   Inputs.m_Bytes = std::max(static_cast<uint64_t>(knownWork(Route).m_Bytes),
                             Of->m_RequestBytes);
   return Inputs;
--- a/libs/gateway/src/CallHost.h
+++ b/libs/gateway/src/CallHost.h
@@ -45,6 +45,11 @@
     double m_Slowdown = 100;
     /// Expected over usual service time.
     double m_Stretch = 1;
+    /// Service time alone at a server of the speed that was told at the send;
+    /// zero where it was not known.
+    Duration m_AloneTime{};
+    /// Requests at the server at the send, this one included.
+    uint32_t m_InFlight = 1;
     bool m_Ended = false;
   };
 
--- a/libs/gateway/src/FleetHost.cpp
+++ b/libs/gateway/src/FleetHost.cpp
@@ -321,6 +321,11 @@
                                  Now);
     dispatch::noteOutcomes(*Found->second, m_State.m_Settings.m_Dispatch,
                            Each.m_Succeeded, Each.m_Failed, Now);
+    if (Each.m_Stretch)
+      dispatch::noteStretch(
+          Found->second->m_Model->m_Curve, m_State.m_Settings.m_Dispatch,
+          {Each.m_Stretch->m_InFlight, Found->second->m_Record.m_Slots,
+           Each.m_Stretch->m_Ratio});
     m_Handlers.m_ServerNews(*Found->second);
   }
 }
@@ -337,9 +342,13 @@
   scheduleNews();
 }
 
-void FleetHost::tellOutcome(const dispatch::Server &Of, bool Succeeded) {
+void FleetHost::tellOutcome(
+    const dispatch::Server &Of, bool Succeeded,
+    const std::optional<dispatch::StretchObservation> &Seen) {
   ServerNews &News = m_NewsToTell[Of.m_Record.m_Id];
   ++(Succeeded ? News.m_Succeeded : News.m_Failed);
+  if (Seen)
+    News.m_Stretch = Seen;
   scheduleNews();
 }
 
@@ -446,8 +455,8 @@
     if (Hosts.empty())
       continue;
     fleet::Datagram &News = ByUsers[Hosts];
-    News.m_InFlight.push_back(
-        {Of.m_Key, Of.m_OwnInFlight, Told.m_Succeeded, Told.m_Failed});
+    News.m_InFlight.push_back({Of.m_Key, Of.m_OwnInFlight, Told.m_Succeeded,
+                               Told.m_Failed, Told.m_Stretch});
     if (Told.m_WithReport)
       News.m_Reports.push_back(reportOf(Of));
   }
--- a/libs/gateway/src/FleetHost.h
+++ b/libs/gateway/src/FleetHost.h
@@ -42,8 +42,10 @@
   /// Queues what an answer told, and what is in flight, for the next datagram
   /// to the VMs that use the server.
   void tellAnswered(const dispatch::Server &Of);
-  /// Queues how an attempt ended, for the same datagram.
-  void tellOutcome(const dispatch::Server &Of, bool Succeeded);
+  /// Queues how an attempt ended, and what its answer told of the service, for
+  /// the same datagram.
+  void tellOutcome(const dispatch::Server &Of, bool Succeeded,
+                   const std::optional<dispatch::StretchObservation> &Seen);
   void tellInFlight(const dispatch::Server &Of);
   /// Queues for all VMs that a server has said that it leaves.
   void tellLeaving(const dispatch::Server &Of);
@@ -102,6 +104,7 @@
     bool m_WithReport = false;
     uint32_t m_Succeeded = 0;
     uint32_t m_Failed = 0;
+    std::optional<dispatch::StretchObservation> m_Stretch;
   };
   std::map<std::string, ServerNews> m_NewsToTell;
   std::map<std::string, Users> m_Users;
--- a/libs/gateway/src/Node.cpp
+++ b/libs/gateway/src/Node.cpp
@@ -15,6 +15,8 @@
 
 /// Between two rounds of upkeep: timeouts of connections, doubts, readiness.
 constexpr Duration UpkeepInterval = std::chrono::milliseconds(50);
+/// Between two log lines of what was learned of a service.
+constexpr Duration LearnedLogInterval = std::chrono::seconds(5);
 /// Time for the greetings of other VMs to arrive before the directory names
 /// any; some ten round trips between data centres.
 constexpr Duration GreetingTime = std::chrono::milliseconds(80);
@@ -82,6 +84,7 @@
   http::Listener m_Internal;
   boost::asio::steady_timer m_UpkeepTimer;
   TimePoint m_StartedAt{};
+  TimePoint m_LearnedLoggedAt{};
   std::function<void()> m_Ended;
 };
 
@@ -193,6 +196,10 @@
   m_State.m_Client.sweep();
   m_Discovery.sweep();
   updateReadiness();
+  if (m_State.now() - m_LearnedLoggedAt >= LearnedLogInterval) {
+    m_LearnedLoggedAt = m_State.now();
+    logLearned(m_State);
+  }
   if (m_State.isStopping())
     continueStop();
   m_UpkeepTimer.expires_after(UpkeepInterval);
--- a/libs/gateway/src/NodeState.cpp
+++ b/libs/gateway/src/NodeState.cpp
@@ -58,4 +58,30 @@
          noteLeaving(State, Id, Incarnation, Source);
 }
 
+void logLearned(const NodeState &State) {
+  const dispatch::DispatchPolicy &Policy = State.m_Settings.m_Dispatch;
+  for (const auto &[Service, Servers] : State.m_Servers.m_ByService) {
+    if (Servers.empty())
+      continue;
+    const dispatch::ServiceModel &Model = *Servers.front()->m_Model;
+    uint32_t Slots = Servers.front()->m_Record.m_Slots;
+    dispatch::SpellForecast Spells =
+        dispatch::forecastOf(Model.m_Spells, Policy);
+    auto StretchAt = [&](uint32_t InFlight) {
+      return static_cast<int>(100 * dispatch::occupancyStretch(Model.m_Curve,
+                                                               Policy, InFlight,
+                                                               Slots));
+    };
+    logEvent(
+        LogLevel::Info, "service_learned",
+        {{"service", Service},
+         {"slots", Slots},
+         {"half_full_stretch_pct", StretchAt((Slots + 1) / 2)},
+         {"before_full_stretch_pct", StretchAt(std::max(1U, Slots - 1))},
+         {"full_stretch_pct", StretchAt(Slots)},
+         {"unknown_slowdown_pct", static_cast<int>(Spells.m_UnknownPercent)},
+         {"speed_memory_ms", static_cast<int>(Spells.m_MemorySeconds * 1000)}});
+  }
+}
+
 } // namespace hyssopcross::gateway
--- a/libs/gateway/src/NodeState.h
+++ b/libs/gateway/src/NodeState.h
@@ -96,6 +96,9 @@
 bool noteLeaving(NodeState &State, const std::string &Id, int64_t Incarnation,
                  const char *Source);
 
+/// Logs what this VM has learned of each service's servers.
+void logLearned(const NodeState &State);
+
 /// A whole number of milliseconds, for log lines.
 inline int64_t toMillis(Duration Length) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Length).count();
