Give up answers that come without end, and skip requests' answers in checks

Cause: a server in trouble may send bytes without end until its peer closes. Besides, health checks share connections with requests and took any answer for their own: a late second answer to a request counted as the check's. Change: what is read ahead is bounded by 64 KB; at most 16 answers are skipped in an exchange; unfinished answers together hold an eighth of the memory, beyond which those of a sixteenth of it or more are given up. Checks skip answers that repeat a request's id.

--- a/libs/gateway/src/HealthHost.cpp
+++ b/libs/gateway/src/HealthHost.cpp
@@ -148,8 +148,14 @@
              http::toBoost(Of.m_Record.m_Address.toString()));
   Mine.m_StartedAt = m_State.now();
   m_State.m_Metrics.count("health_check");
+  // Checks share connections with requests, whose second answers may come late;
+  // an answer to a check repeats no request's id.
   Mine.m_Call = m_State.m_Client.send(
-      Of.m_Record.m_Address, Asked, std::chrono::seconds(30), nullptr,
+      Of.m_Record.m_Address, Asked, std::chrono::seconds(30),
+      [IdHeader = m_State.m_Dialect.m_Headers.m_RequestId](
+          const http::Response &Answer) {
+        return http::headerOf(Answer.base(), IdHeader).empty();
+      },
       [this, Id = Of.m_Record.m_Id, Incarnation = Of.m_Record.m_Incarnation](
           const http::ExchangeResult &Result) {
         ended(Id, Incarnation, Result);
--- a/libs/gateway/src/NodeState.h
+++ b/libs/gateway/src/NodeState.h
@@ -23,12 +23,22 @@
   const routing::RouteTable m_Routes;
 };
 
+/// Share of the process's memory that unfinished answers of servers may take.
+constexpr uint64_t AnswerMemoryShare = 8;
+
+/// How a VM speaks to backend servers.
+inline http::ClientPolicy clientPolicy(const Settings &Given) {
+  http::ClientPolicy Made;
+  Made.m_HeldBytes = Given.m_MemoryBytes / AnswerMemoryShare;
+  return Made;
+}
+
 /// What the parts of a node share. One thread.
 struct NodeState {
   NodeState(boost::asio::io_context &Loop, const Clock &Time, Settings Given,
             const Dialect &Speech)
       : m_Loop(Loop), m_Clock(Time), m_Settings(std::move(Given)),
-        m_Dialect(Speech), m_Client(Loop, Time, {}),
+        m_Dialect(Speech), m_Client(Loop, Time, clientPolicy(m_Settings)),
         m_Random(
             static_cast<uint32_t>(Time.wallNow().time_since_epoch().count() ^
                                   fleet::vmKey(m_Settings.m_Host))) {
--- a/libs/http/include/hyssopcross/http/Client.h
+++ b/libs/http/include/hyssopcross/http/Client.h
@@ -51,6 +51,11 @@
   uint32_t m_IdleConnections = 8;
   /// Largest answer that is read.
   uint64_t m_AnswerBytes = 32ULL << 20;
+  /// Bytes of unfinished answers, of all exchanges together, beyond which the
+  /// large ones are given up: a faulty server may send without end.
+  uint64_t m_HeldBytes = 64ULL << 20;
+  /// Interim answers, and answers to other requests, that one exchange skips.
+  uint32_t m_SkippedAnswers = 16;
 };
 
 class ClientConnection;
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -23,6 +23,13 @@
 
 namespace {
 
+/// Bytes read ahead of the parser: a head, or the line before a chunk, that
+/// does not fit is no answer.
+constexpr size_t BufferBytes = 64 * 1024;
+/// An unfinished answer of less than this part of what may be held is never
+/// given up, so that an endless one does not cost others theirs.
+constexpr uint64_t LargeAnswerPart = 16;
+
 using ServerKey = std::pair<std::string, uint16_t>;
 
 ServerKey keyOf(const Address &Server) {
@@ -93,6 +100,8 @@
   /// Idle connections to keep, where that is not the policy's number.
   std::map<ServerKey, uint32_t> m_Keep;
   uint64_t m_Opened = 0;
+  /// Bytes of unfinished answers.
+  uint64_t m_HeldBytes = 0;
   bool m_Ended = false;
 
   uint32_t idleLimit(const ServerKey &Server) const {
@@ -124,6 +133,7 @@
     m_Done = std::move(Done);
     m_Writing = false;
     m_MayBeSent = false;
+    m_Skipped = 0;
     m_Owner->m_Active[keyOf(m_Server)].insert(this);
     if (m_Socket.is_open())
       exchange();
@@ -133,6 +143,7 @@
 
   void cancel() {
     m_Owner->endExchange(keyOf(m_Server), this);
+    hold(0);
     m_Done = nullptr;
     close();
   }
@@ -165,6 +176,10 @@
   void readAnswer();
   void readBody();
   void answerRead(const error_code &Failure);
+  /// Counts Bytes of the unfinished answer, in place of what was counted.
+  void hold(uint64_t Bytes) {
+    m_Owner->m_HeldBytes += Bytes - std::exchange(m_Held, Bytes);
+  }
   void finish(ExchangeEnd End);
   void keepOrClose(bool KeepAlive);
 
@@ -172,7 +187,7 @@
   Address m_Server;
   tcp::socket m_Socket;
   boost::asio::steady_timer m_ConnectTimer;
-  boost::beast::flat_buffer m_Buffer;
+  boost::beast::flat_buffer m_Buffer{BufferBytes};
   std::shared_ptr<const Request> m_Asked;
   std::optional<beast_http::request_serializer<beast_http::string_body>>
       m_Serializer;
@@ -181,6 +196,8 @@
   ExchangeCallback m_Done;
   bool m_Writing = false;
   bool m_MayBeSent = false;
+  uint64_t m_Held = 0;
+  uint32_t m_Skipped = 0;
 };
 
 void ClientConnection::connect() {
@@ -251,10 +268,20 @@
 void ClientConnection::readBody() {
   if (!m_Done)
     return;
-  beast_http::async_read(
+  beast_http::async_read_some(
       m_Socket, m_Buffer, *m_Parser,
       [Self = shared_from_this()](const error_code &Failure, size_t) {
-        Self->answerRead(Failure);
+        if (!Self->m_Done)
+          return;
+        if (Failure || Self->m_Parser->is_done())
+          return Self->answerRead(Failure);
+        uint64_t Bytes = Self->m_Parser->get().body().size();
+        Self->hold(Bytes);
+        uint64_t Limit = Self->m_Owner->m_Policy.m_HeldBytes;
+        if (Self->m_Owner->m_HeldBytes > Limit &&
+            Bytes >= Limit / LargeAnswerPart)
+          return Self->finish(ExchangeEnd::Malformed);
+        Self->readBody();
       });
 }
 
@@ -274,6 +301,8 @@
   if (IsInterim || (m_Filter && !m_Filter(Answer))) {
     if (!Answer.keep_alive())
       return finish(ExchangeEnd::Broken);
+    if (++m_Skipped > m_Owner->m_Policy.m_SkippedAnswers)
+      return finish(ExchangeEnd::Malformed);
     return readAnswer();
   }
   finish(ExchangeEnd::Answered);
@@ -294,6 +323,7 @@
     Ended.m_Answer = m_Parser->release();
   }
   m_Filter = nullptr;
+  hold(0);
   m_Owner->endExchange(keyOf(m_Server), this);
   auto Done = std::exchange(m_Done, nullptr);
   keepOrClose(KeepAlive);
--- a/libs/http/tests/ClientTest.cpp
+++ b/libs/http/tests/ClientTest.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 struct Fixture {
-  Fixture() : m_Client(m_Loop, m_Clock, ClientPolicy()) {}
+  explicit Fixture(ClientPolicy Policy = ClientPolicy())
+      : m_Client(m_Loop, m_Clock, Policy) {}
 
   void ask(const std::string &Id) {
     auto Asked =
@@ -113,6 +114,94 @@
   }
 }
 
+TEST_CASE("bytes that come without end are not kept") {
+  struct Case {
+    const char *m_Name;
+    std::string m_Head;
+    /// Sent again and again until the client closes.
+    std::string m_Endless;
+  };
+  const std::string Good200 = "HTTP/1.1 200 OK\r\nId: a\r\n";
+  const std::string Block(16384, 'x');
+  const Case Cases[] = {
+      {"a head without a line's end", "", Block},
+      {"a status line without end", "HTTP/1.1 200 ", Block},
+      {"a header without end", Good200 + "Field: ", Block},
+      {"headers without end", Good200, "Field: value\r\n"},
+      {"a body that ends with its connection", Good200 + "\r\n", Block},
+      {"chunks without end", Good200 + "Transfer-Encoding: chunked\r\n\r\n",
+       "4000\r\n" + Block + "\r\n"},
+      {"a chunk's extension without end",
+       Good200 + "Transfer-Encoding: chunked\r\n\r\n4;", Block},
+      {"trailers without end",
+       Good200 + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Field: value\r\n"},
+      {"a chunk of a length that no memory holds",
+       Good200 + "Transfer-Encoding: chunked\r\n\r\nfffffffffff\r\n", Block},
+      {"interim answers without end", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"answers to other requests without end", "",
+       "HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 2\r\n\r\nzz"},
+  };
+  // Beside what may be held, what the kernel holds on both sides.
+  constexpr uint64_t HeldBytes = 1ULL << 20;
+  constexpr uint64_t KernelBytes = 16ULL << 20;
+  ClientPolicy OneAnswer;
+  OneAnswer.m_AnswerBytes = HeldBytes;
+  ClientPolicy AllAnswers;
+  AllAnswers.m_HeldBytes = HeldBytes;
+  for (const ClientPolicy &Policy : {OneAnswer, AllAnswers})
+    for (const Case &Each : Cases) {
+      CAPTURE(std::string(Each.m_Name));
+      CAPTURE(Policy.m_HeldBytes);
+      Fixture Test(Policy);
+      Test.ask("a");
+      auto Peer = Test.serve();
+      Peer->send(Each.m_Head);
+      uint64_t Sent = 0;
+      bool HasEnded = runUntil(Test.m_Loop, [&] {
+        while (Sent < HeldBytes + 2 * KernelBytes) {
+          size_t Taken = Peer->sendSome(Each.m_Endless);
+          Sent += Taken;
+          if (Taken == 0)
+            break;
+        }
+        return Test.m_Result.has_value();
+      });
+      REQUIRE(HasEnded);
+      CHECK(Test.m_Result->m_End != ExchangeEnd::Answered);
+      CHECK(Sent <= HeldBytes + KernelBytes);
+      CHECK(runUntil(Test.m_Loop, [&] { return Peer->isEnded(); }));
+    }
+}
+
+TEST_CASE("an endless answer costs no other exchange its own") {
+  ClientPolicy Policy;
+  Policy.m_HeldBytes = 1ULL << 20;
+  Fixture Test(Policy);
+  Test.ask("endless");
+  auto Endless = Test.serve();
+  Endless->send("HTTP/1.1 200 OK\r\nId: endless\r\n\r\n");
+  auto EndlessCall = Test.m_Call;
+  const std::string Block(16384, 'x');
+  // Just below what is given up.
+  uint64_t Sent = 0;
+  runUntil(
+      Test.m_Loop,
+      [&] {
+        if (Sent < Policy.m_HeldBytes - Block.size())
+          Sent += Endless->sendSome(Block);
+        return false;
+      },
+      50ms);
+  REQUIRE_FALSE(Test.m_Result.has_value());
+  Test.ask("a");
+  auto Peer = Test.serve();
+  Peer->send("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 40000\r\n\r\n" +
+             std::string(40000, 'y'));
+  REQUIRE(Test.waitForResult());
+  CHECK(Test.m_Result->m_End == ExchangeEnd::Answered);
+  CHECK(Test.m_Result->m_Answer.body().size() == 40000);
+}
+
 TEST_CASE("a connection is used again only while nothing else came over it") {
   struct Case {
     const char *m_Name;
--- a/libs/http/tests/RawSocket.h
+++ b/libs/http/tests/RawSocket.h
@@ -41,6 +41,12 @@
     boost::asio::write(m_Socket, boost::asio::buffer(Bytes));
   }
 
+  /// Sends what fits now; returns how much, zero once the peer has closed.
+  size_t sendSome(const std::string &Bytes) {
+    boost::system::error_code Failure;
+    return m_Socket.write_some(boost::asio::buffer(Bytes), Failure);
+  }
+
   /// All that has arrived so far.
   const std::string &received() {
     char Input[65536];
