Tell other VMs of a check only what changed

Cause: each batch of checks, every 40 ms, went to all VMs that use one of its servers, whether anything had changed or not: the most of what crosses data centres, and of the datagrams that a VM reads. Ruled out: checking less often (a slow spell is noticed later). Change: a check's result is told if it differs from what was told by more than a quarter, or every 160 ms. A report carries how long its teller will tell changes, and counts as fresh for so long. Users of a changed server in other data centres hear of it at once, of the rest in turn.

--- a/libs/dispatch/include/hyssopcross/dispatch/Policy.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Policy.h
@@ -103,6 +103,16 @@
   Duration m_SlowStartTime = std::chrono::milliseconds(60);
   double m_SlowStartFactor = 2.0;
 
+  /// Time after which others are told of a server though nothing has changed:
+  /// four checks, and well under the silence after which another VM checks too.
+  Duration m_RetellInterval = std::chrono::milliseconds(160);
+  /// For so long a report that was told holds unless a change is told: the
+  /// interval above and the next check.
+  Duration m_ReportHolds = std::chrono::milliseconds(200);
+  /// Ratio of two told slowdowns that is more than jitter.
+  double m_SpeedChange = 1.25;
+
+  bool m_TellChangesOnly = true;
   bool m_LearnServers = true;
   bool m_Queue = true;
   bool m_RefuseHopeless = true;
--- a/libs/dispatch/include/hyssopcross/dispatch/Servers.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Servers.h
@@ -75,6 +75,9 @@
   LoadReport m_Report;
   /// When the report arrived here; zero before the first one.
   TimePoint m_ReportAt{};
+  /// Until when whoever checks it tells at once if its speed changes: silence
+  /// means that the report holds.
+  TimePoint m_HoldsUntil{};
   /// When it was first listed here, or started anew.
   TimePoint m_ListedAt{};
   /// When a healthy report last arrived.
@@ -164,6 +167,30 @@
 void noteReport(Server &Of, const LoadReport &Report, Duration Age,
                 TimePoint Now);
 
+/// Takes in a promise, given with a report: for so long its teller tells at once
+/// if the speed changes.
+void noteHolds(Server &Of, Duration For, TimePoint Now);
+
+/// The last report of a server that a VM told others.
+struct ToldReport {
+  LoadReport m_Report;
+  /// Zero before the first one.
+  TimePoint m_At{};
+};
+
+/// What a check's result is to other VMs.
+enum class CheckResult {
+  /// They know it.
+  Known,
+  /// Nothing changed, but what they were told is no longer fresh.
+  Refresh,
+  /// It differs from what they were told by more than jitter.
+  Change,
+};
+
+CheckResult compareTold(const ToldReport &Told, const LoadReport &Found,
+                        const DispatchPolicy &Policy, TimePoint Now);
+
 /// Since when nothing was heard of a server.
 TimePoint silentSince(const Server &Of);
 
--- a/libs/dispatch/src/Servers.cpp
+++ b/libs/dispatch/src/Servers.cpp
@@ -15,6 +15,7 @@
 void forgetLearned(Server &Of) {
   Of.m_Report = {};
   Of.m_ReportAt = {};
+  Of.m_HoldsUntil = {};
   Of.m_ConfirmedAt = {};
   Of.m_ColdUntil = {};
   Of.m_OthersInFlight.clear();
@@ -195,6 +196,24 @@
     Of.m_ConfirmedAt = At;
 }
 
+void noteHolds(Server &Of, Duration For, TimePoint Now) {
+  Of.m_HoldsUntil = std::max(Of.m_HoldsUntil, Now + For);
+}
+
+CheckResult compareTold(const ToldReport &Told, const LoadReport &Found,
+                        const DispatchPolicy &Policy, TimePoint Now) {
+  if (!Policy.m_TellChangesOnly || Told.m_At == TimePoint{} ||
+      Told.m_Report.m_Health != Found.m_Health ||
+      Found.m_ColdFor > Duration(0) || Told.m_Report.m_ColdFor > Duration(0))
+    return CheckResult::Change;
+  double Ratio = static_cast<double>(Found.m_SlowdownPercent) /
+                 std::max(1U, Told.m_Report.m_SlowdownPercent);
+  if (Ratio > Policy.m_SpeedChange || Ratio < 1 / Policy.m_SpeedChange)
+    return CheckResult::Change;
+  return Now - Told.m_At >= Policy.m_RetellInterval ? CheckResult::Refresh
+                                                    : CheckResult::Known;
+}
+
 TimePoint silentSince(const Server &Of) {
   return std::max(Of.m_ListedAt, Of.m_ReportAt);
 }
@@ -255,7 +274,8 @@
   SpellForecast Forecast = forecastOf(Of.m_Model->m_Spells, Policy);
   if (Of.m_ReportAt == TimePoint{})
     return Forecast.m_UnknownPercent;
-  double Age = std::chrono::duration<double>(Now - Of.m_ReportAt).count();
+  TimePoint HeldUntil = std::max(Of.m_ReportAt, Of.m_HoldsUntil);
+  double Age = std::chrono::duration<double>(Now - HeldUntil).count();
   double Trust = std::exp(-std::max(0.0, Age) / Forecast.m_MemorySeconds);
   return Trust * Of.m_Report.m_SlowdownPercent +
          (1 - Trust) * Forecast.m_UnknownPercent;
--- a/libs/fleet/fleet.thrift
+++ b/libs/fleet/fleet.thrift
@@ -58,6 +58,8 @@
   6: optional i32 coldMillis,
   // Of the server, if it has said in an answer that it leaves.
   7: optional i64 leavingIncarnation,
+  // For so long the sender tells at once if the speed changes.
+  8: optional i16 holdsMillis,
 }
 
 // Requests that the sender has in flight at a backend server.
--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -57,6 +57,9 @@
     Made.__set_coldMillis(static_cast<int32_t>(Cold.count()));
   if (From.m_LeavingIncarnation)
     Made.__set_leavingIncarnation(*From.m_LeavingIncarnation);
+  if (From.m_Holds > Duration(0))
+    Made.__set_holdsMillis(
+        toSmall(static_cast<uint32_t>(toMillis32(From.m_Holds))));
   return Made;
 }
 
@@ -75,6 +78,8 @@
     Made.m_Load.m_ColdFor = std::chrono::milliseconds(From.coldMillis);
   if (From.__isset.leavingIncarnation)
     Made.m_LeavingIncarnation = From.leavingIncarnation;
+  if (From.__isset.holdsMillis)
+    Made.m_Holds = std::chrono::milliseconds(fromSmall(From.holdsMillis));
   return Made;
 }
 
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -344,7 +344,8 @@
   Load.m_Running = 2;
   Load.m_SlowdownPercent = 412;
   Load.m_ColdFor = 2500ms;
-  Sent.m_Reports = {{0x80000001, Load}, {0x80000003, Load, 1768123339038}};
+  Sent.m_Reports = {{0x80000001, Load, std::nullopt, 200ms},
+                    {0x80000003, Load, 1768123339038}};
   Sent.m_InFlight = {{0x80000002, 3, 1, 2, {{2, 1, 1.75}}}};
   Sent.m_KnownHosts = {"10.0.0.3"};
   Sent.m_Following = Following{true, {5, 7}};
@@ -363,6 +364,8 @@
   // The encoding holds every field, so equal bytes are equal messages.
   CHECK(encodeDatagram(Read.value()) == Bytes);
   CHECK(Read.value().m_Reports[0].m_Load.m_ColdFor == 2500ms);
+  CHECK(Read.value().m_Reports[0].m_Holds == 200ms);
+  CHECK(Read.value().m_Reports[1].m_Holds == 0ms);
   CHECK(Read.value().m_InFlight[0].m_Failed == 2);
   REQUIRE(Read.value().m_InFlight[0].m_Stretch.has_value());
   CHECK(Read.value().m_InFlight[0].m_Stretch->m_InFlight == 2);
--- a/libs/gateway/src/FleetHost.cpp
+++ b/libs/gateway/src/FleetHost.cpp
@@ -1,5 +1,6 @@
 #include "FleetHost.h"
 #include "hyssopcross/base/Log.h"
+#include <algorithm>
 #include <boost/asio/post.hpp>
 
 namespace hyssopcross::gateway {
@@ -306,6 +307,7 @@
     if (Found == ByKey.end())
       continue;
     noteReport(m_State, *Found->second, Each.m_Load);
+    dispatch::noteHolds(*Found->second, Each.m_Holds, Now);
     if (Each.m_LeavingIncarnation)
       noteLeaving(m_State, Found->second->m_Record.m_Id,
                   *Each.m_LeavingIncarnation, "vm");
@@ -331,9 +333,10 @@
 }
 
 void FleetHost::tellChecked(const CheckNews &News) {
-  m_CheckedToTell.insert(News.m_Server.m_Record.m_Id);
+  bool &IsChange = m_CheckedToTell[News.m_Server.m_Record.m_Id];
+  IsChange = IsChange || News.m_Result == dispatch::CheckResult::Change;
   m_CheckStandbys.insert(News.m_Standbys.begin(), News.m_Standbys.end());
-  m_CheckedChange = m_CheckedChange || News.m_IsChange;
+  m_CheckedChange = m_CheckedChange || News.m_IsForAll;
   scheduleChecked();
 }
 
@@ -408,15 +411,21 @@
 
 void FleetHost::sendChecked() {
   const fleet::FleetPolicy &Policy = m_State.m_Settings.m_Fleeting;
+  const dispatch::DispatchPolicy &Telling = m_State.m_Settings.m_Dispatch;
   bool IsForAll = std::exchange(m_CheckedChange, false);
   bool IsForUsers = !IsForAll && fleet::isLarge(m_State.m_Fleet, Policy);
   fleet::Datagram News = newDatagram();
   std::set<std::string> Users = std::exchange(m_CheckStandbys, {});
-  for (const std::string &Id : std::exchange(m_CheckedToTell, {})) {
+  std::set<std::string> Changed;
+  for (const auto &[Id, IsChange] : std::exchange(m_CheckedToTell, {})) {
     auto Found = m_State.m_Servers.m_Servers.find(Id);
     if (Found == m_State.m_Servers.m_Servers.end())
       continue;
     News.m_Reports.push_back(reportOf(Found->second));
+    if (Telling.m_TellChangesOnly)
+      News.m_Reports.back().m_Holds = Telling.m_ReportHolds;
+    if (IsChange)
+      Changed.insert(Id);
     if (!IsForUsers)
       continue;
     const std::vector<std::string> &Hosts = usersOf(Found->second);
@@ -434,12 +443,40 @@
     else
       Remote.push_back(&Host);
   }
+  sendCheckedFar(News, Changed, Remote);
+}
+
+void FleetHost::sendCheckedFar(const fleet::Datagram &All,
+                               const std::set<std::string> &Changed,
+                               const std::vector<const std::string *> &Remote) {
   // VMs of other data centres send here less, and hear of it less often the
   // more of them there are.
-  uint64_t Turns = 1 + Remote.size() / Policy.m_RemoteReceivers;
+  uint64_t Turns =
+      1 + Remote.size() / m_State.m_Settings.m_Fleeting.m_RemoteReceivers;
   uint64_t Turn = m_CheckedBatches++ % Turns;
-  for (size_t I = Turn; I < Remote.size(); I += Turns)
-    send(Bytes, *Remote[I]);
+  std::string Whole = fleet::encodeDatagram(All);
+  std::set<std::string> Told;
+  for (size_t I = Turn; I < Remote.size(); I += Turns) {
+    send(Whole, *Remote[I]);
+    Told.insert(*Remote[I]);
+  }
+  if (Turns == 1 || !m_State.m_Settings.m_Dispatch.m_TellChangesOnly)
+    return;
+  // The others use few of these servers each.
+  std::map<std::string, fleet::Datagram> ByHost;
+  for (const std::string &Id : Changed) {
+    const dispatch::Server &Of = m_State.m_Servers.m_Servers.at(Id);
+    for (const std::string &Host : usersOf(Of))
+      if (!Told.count(Host) &&
+          std::any_of(Remote.begin(), Remote.end(),
+                      [&](const std::string *Each) { return *Each == Host; }))
+        ByHost[Host].m_Reports.push_back(reportOf(Of));
+  }
+  for (auto &[Host, News] : ByHost) {
+    fleet::Datagram Numbered = newDatagram();
+    Numbered.m_Reports = std::move(News.m_Reports);
+    send(fleet::encodeDatagram(Numbered), Host);
+  }
 }
 
 void FleetHost::sendNews() {
--- a/libs/gateway/src/FleetHost.h
+++ b/libs/gateway/src/FleetHost.h
@@ -78,6 +78,11 @@
   void sendToAll(const std::string &Bytes);
 
   void sendChecked();
+  /// Tells VMs of other data centres: changes to all that use a server, the
+  /// rest to some of them in turn.
+  void sendCheckedFar(const fleet::Datagram &All,
+                      const std::set<std::string> &Changed,
+                      const std::vector<const std::string *> &Remote);
   void sendNews();
   const std::vector<std::string> &usersOf(const dispatch::Server &Of);
 
@@ -94,7 +99,8 @@
   boost::asio::steady_timer m_FlushTimer;
   bool m_CheckedScheduled = false;
   bool m_NewsScheduled = false;
-  std::set<std::string> m_CheckedToTell;
+  /// Servers whose checks are to be told, and whether it is a change.
+  std::map<std::string, bool> m_CheckedToTell;
   /// Hear of the next batch whether they use its servers or not.
   std::set<std::string> m_CheckStandbys;
   /// The next batch holds news that all VMs need.
--- a/libs/gateway/src/HealthHost.cpp
+++ b/libs/gateway/src/HealthHost.cpp
@@ -223,7 +223,13 @@
               {"slowdown_pct", Report.m_SlowdownPercent}});
   // A cold server is used by one VM, which need not use it later.
   bool IsForAll = Changed || LeavesNow || Report.m_ColdFor > Duration(0);
-  m_Handler({Of, dutyFor(Of, Mine).m_Standbys, IsForAll});
+  dispatch::CheckResult Result = dispatch::compareTold(
+      Mine.m_Told, Report, m_State.m_Settings.m_Dispatch, m_State.now());
+  if (IsForAll)
+    Result = dispatch::CheckResult::Change;
+  if (Result != dispatch::CheckResult::Known)
+    Mine.m_Told = {Report, m_State.now()};
+  m_Handler({Of, dutyFor(Of, Mine).m_Standbys, IsForAll, Result});
 }
 
 } // namespace hyssopcross::gateway
--- a/libs/gateway/src/HealthHost.h
+++ b/libs/gateway/src/HealthHost.h
@@ -15,7 +15,8 @@
   /// VMs that hear of it whether they use the server or not.
   const std::vector<std::string> &m_Standbys;
   /// All VMs need to know.
-  bool m_IsChange = false;
+  bool m_IsForAll = false;
+  dispatch::CheckResult m_Result = dispatch::CheckResult::Change;
 };
 
 /// Checks the health of the servers that are this VM's to check. For each
@@ -38,6 +39,7 @@
     /// Its health endpoint answers at once and tells its load. Otherwise a
     /// check takes a slot, and may wait for one.
     bool m_TellsLoad = true;
+    dispatch::ToldReport m_Told;
     /// Which duty the check belongs to; empty until it is looked up.
     std::string m_Duty;
   };
--- a/libs/gateway/src/Node.cpp
+++ b/libs/gateway/src/Node.cpp
@@ -51,7 +51,8 @@
                  [this] { return m_Discovery.ownFollowing(); }}),
         m_Health(m_State,
                  [this](const CheckNews &News) {
-                   m_Fleet.tellChecked(News);
+                   if (News.m_Result != dispatch::CheckResult::Known)
+                     m_Fleet.tellChecked(News);
                    serverNews(News.m_Server);
                  }),
         m_Calls(m_State, m_Fleet, m_Health),
