Begin a second attempt in time where servers tell no speed

Cause: a second attempt began after twice the expected time, when its answer would be late, too; where servers tell no speed, a late answer is the only sign of a slow one. Change: there it begins when it can just be in time, after 1.4 times the expected time at the earliest. Test: ChoiceTest "a second attempt begins while it can still be in time".

--- a/libs/dispatch/include/hyssopcross/dispatch/Choice.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Choice.h
@@ -93,6 +93,13 @@
                                                 const DispatchPolicy &Policy,
                                                 TimePoint Now);
 
+/// How long after its send an attempt is late enough for a second one, with
+/// ObjectiveLeft at the send. Where servers don't tell their speed, a late
+/// answer is the only sign of a slow one: then it is when a second attempt can
+/// just be in time, but not before most requests on usual servers have ended.
+Duration hedgeAfter(const DispatchPolicy &Policy, bool TellsSpeed,
+                    Duration Expected, Duration Work, Duration ObjectiveLeft);
+
 /// The best server for a second attempt of a call that runs late, or null.
 /// Chosen only if it is expected to be faster than Remaining.
 Choice chooseHedge(const ServerView &View, const DispatchPolicy &Policy,
--- a/libs/dispatch/include/hyssopcross/dispatch/Policy.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Policy.h
@@ -90,8 +90,12 @@
   /// How long a service counts as short of room after a request had to wait.
   Duration m_PressureTime = std::chrono::milliseconds(400);
   /// A running request of this many times its expected time is worth a second
-  /// attempt elsewhere.
+  /// attempt elsewhere, at the latest and, so that the second one can still be
+  /// in time, at the earliest.
   double m_HedgeFactor = 2.0;
+  double m_EarlyHedgeFactor = 1.4;
+  /// Times the usual service time that a second attempt is given.
+  double m_HedgeMargin = 1.25;
 
   /// A VM that is being stopped takes a request only if it has this many times
   /// the usual service time left: a slow server takes four times as long, and
@@ -118,6 +122,7 @@
   bool m_RefuseHopeless = true;
   bool m_ServeLate = true;
   bool m_Hedge = true;
+  bool m_HedgeInTime = true;
   bool m_HedgeSlowStarts = true;
   bool m_Eject = true;
   bool m_ShareInFlight = true;
--- a/libs/dispatch/include/hyssopcross/dispatch/ServiceModel.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/ServiceModel.h
@@ -77,6 +77,9 @@
 /// What one VM has learned of the servers of a service. Bounded, and forgets:
 /// old observations lose their weight as new ones come.
 struct ServiceModel {
+  /// Answers tell how fast their server is; the newest one that had to do so
+  /// decides.
+  bool m_TellsSpeed = true;
   OccupancyCurve m_Curve;
   SpeedSpells m_Spells;
 };
--- a/libs/dispatch/src/Choice.cpp
+++ b/libs/dispatch/src/Choice.cpp
@@ -291,6 +291,16 @@
                   scale(Of.m_Estimate, Factor) - (Now - Of.m_SentAt));
 }
 
+Duration hedgeAfter(const DispatchPolicy &Policy, bool TellsSpeed,
+                    Duration Expected, Duration Work, Duration ObjectiveLeft) {
+  Duration Latest = scale(Expected, Policy.m_HedgeFactor);
+  if (!Policy.m_HedgeInTime || TellsSpeed)
+    return Latest;
+  Duration Earliest = scale(Expected, Policy.m_EarlyHedgeFactor);
+  return std::clamp(ObjectiveLeft - scale(Work, Policy.m_HedgeMargin), Earliest,
+                    Latest);
+}
+
 Choice chooseHedge(const ServerView &View, const DispatchPolicy &Policy,
                    const CallInputs &Call, const WarmupOwner &OwnsWarmup,
                    double WarmupRate, Duration Remaining, std::mt19937 &Random,
--- a/libs/dispatch/tests/ChoiceTest.cpp
+++ b/libs/dispatch/tests/ChoiceTest.cpp
@@ -203,6 +203,30 @@
   }
 }
 
+TEST_CASE("a second attempt begins while it can still be in time") {
+  struct Case {
+    const char *m_Name;
+    bool m_TellsSpeed;
+    Duration m_Expected;
+    Duration m_ObjectiveLeft;
+    Duration m_After;
+  };
+  // Usual work is 80 ms, a second attempt is given 100 ms.
+  const Case Cases[] = {
+      {"speed is told: twice the expected time", true, 80ms, 250ms, 160ms},
+      {"not told: when a second one can just be in time", false, 80ms, 250ms,
+       150ms},
+      {"not before most have ended", false, 80ms, 150ms, 112ms},
+      {"the objective is over", false, 80ms, -20ms, 112ms},
+      {"not later than twice the expected time", false, 80ms, 900ms, 160ms},
+  };
+  for (const Case &Each : Cases) {
+    CAPTURE(std::string(Each.m_Name));
+    CHECK(hedgeAfter(DispatchPolicy(), Each.m_TellsSpeed, Each.m_Expected, 80ms,
+                     Each.m_ObjectiveLeft) == Each.m_After);
+  }
+}
+
 TEST_CASE("a stopping VM takes what will have ended before it does") {
   // Found by fault-soak seeds 103, 110, 114 and 123: requests that a stopping
   // VM had taken late were cut by the end of its process.
--- a/libs/gateway/src/CallAttempts.cpp
+++ b/libs/gateway/src/CallAttempts.cpp
@@ -74,6 +74,16 @@
                      [](const auto &Each) { return !Each->m_Ended; });
 }
 
+TimePoint CallHost::hedgeAt(const Call &Of, const Attempt &First) const {
+  auto Model = m_State.m_Servers.m_Models.find(Of.m_Service);
+  bool TellsSpeed =
+      Model == m_State.m_Servers.m_Models.end() || Model->second.m_TellsSpeed;
+  return First.m_SentAt +
+         dispatch::hedgeAfter(m_State.m_Settings.m_Dispatch, TellsSpeed,
+                              First.m_Expected, expectedWork(*Of.m_Route),
+                              Of.m_ObjectiveAt - First.m_SentAt);
+}
+
 void CallHost::armTimer(const CallRef &Of) {
   if (!Of->m_Timer)
     Of->m_Timer = std::make_unique<boost::asio::steady_timer>(m_State.m_Loop);
@@ -82,9 +92,7 @@
     At = std::min(At, Of->m_QueueUntil);
   else if (!Of->m_HedgeConsidered && !Of->m_Attempts.empty() &&
            Of->m_Route->isIdempotent())
-    At = std::min(At, Of->m_Attempts.back()->m_SentAt +
-                          scale(Of->m_Attempts.back()->m_Expected,
-                                m_State.m_Settings.m_Dispatch.m_HedgeFactor));
+    At = std::min(At, hedgeAt(*Of, *Of->m_Attempts.back()));
   Of->m_Timer->expires_at(
       std::chrono::time_point_cast<std::chrono::steady_clock::duration>(At));
   Of->m_Timer->async_wait([this, Of](const error_code &Ended) {
@@ -229,6 +237,8 @@
   if (Result.m_End != http::ExchangeEnd::Answered)
     return;
   auto Load = m_State.m_Dialect.m_DecodeLoad(Result.m_Answer);
+  if (End == dispatch::AttemptEnd::Answered)
+    At.m_Model->m_TellsSpeed = Load.has_value();
   if (Load && At.m_Report.m_Health == dispatch::LoadReport::Health::Healthy &&
       At.m_ReportAt != TimePoint{}) {
     Load->m_ColdFor = std::max(Duration(0), At.m_ColdUntil - Now);
--- a/libs/gateway/src/CallHost.h
+++ b/libs/gateway/src/CallHost.h
@@ -114,6 +114,8 @@
   void considerHedgeOfSlowStart(const CallRef &Of, const dispatch::Server &At);
   dispatch::Choice chooseHedge(const CallRef &Of, Duration Remaining);
   void hedge(const CallRef &Of, const dispatch::Choice &Made, const char *Why);
+  /// When a second attempt is considered beside one that still runs.
+  TimePoint hedgeAt(const Call &Of, const Attempt &First) const;
   void armTimer(const CallRef &Of);
   void timerFired(const CallRef &Of);
   void expire(const CallRef &Of);
