--- a/libs/dispatch/include/hyssopcross/dispatch/Policy.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Policy.h
@@ -2,7 +2,9 @@
 #define HYSSOPCROSS_DISPATCH_POLICY_H
 
 #include "hyssopcross/base/Clock.h"
+#include "hyssopcross/base/Error.h"
 #include <cstdint>
+#include <string_view>
 
 namespace hyssopcross::dispatch {
 
@@ -132,6 +134,10 @@
   bool m_RetryShedSoon = true;
 };
 
+/// Turns a mechanism off by its name, such as "hedge". Fails with InvalidInput,
+/// and the names there are, if none is called so.
+Result<void> turnOff(DispatchPolicy &Policy, std::string_view Mechanism);
+
 } // namespace hyssopcross::dispatch
 
 #endif
--- a/tools/hyssopcross-entry/Flags.cpp
+++ b/tools/hyssopcross-entry/Flags.cpp
@@ -37,6 +37,8 @@
 DEFINE_bool(serve_late, true, "serve requests that are already late");
 DEFINE_bool(hedge, true, "send slow idempotent requests a second time");
 DEFINE_bool(share_in_flight, true, "tell other VMs what is in flight");
+DEFINE_string(mechanisms_off, "",
+              "mechanisms of the decisions to turn off, comma separated");
 
 namespace hyssopcross::entryvm {
 
@@ -139,6 +141,12 @@
   Made.m_Dispatch.m_ServeLate = FLAGS_serve_late;
   Made.m_Dispatch.m_Hedge = FLAGS_hedge;
   Made.m_Dispatch.m_ShareInFlight = FLAGS_share_in_flight;
+  for (std::string_view Mechanism : splitList(FLAGS_mechanisms_off, ',')) {
+    auto Off = dispatch::turnOff(Made.m_Dispatch, Mechanism);
+    if (!Off)
+      return fail(Off.error().m_Code,
+                  "--mechanisms_off: " + Off.error().m_Message);
+  }
   return Made;
 }
 
