Count the time in which a VM was suspended

Cause: the steady clock stands still while a VM is suspended. A VM that woke took what it knew for fresh: that a server is warm, that a duty is its own, that a refusal still held. Ruled out: a check for gaps at each use (easily forgotten at the next one). Change: the clock counts suspended time; timers are set by lengths of time, since the event loop's own clock does not. Test: ClockTest. A suspended VM can't be made on loopback; what follows from old beliefs is tested with a clock of the test's own (dispatch, "a server that has not confirmed itself counts as cold").

--- a/libs/base/include/hyssopcross/base/Clock.h
+++ b/libs/base/include/hyssopcross/base/Clock.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace hyssopcross {
 
@@ -44,7 +45,16 @@
 /// The clocks of the machine. Stateless.
 class SystemClock final : public Clock {
 public:
-  TimePoint now() const override { return std::chrono::steady_clock::now(); }
+  /// Counts the time in which the VM was suspended, which the steady clock of
+  /// the standard library leaves out: what ran out meanwhile has run out.
+  /// Timers of the event loop are therefore set by lengths of time, not by
+  /// instants.
+  TimePoint now() const override {
+    timespec Since{};
+    clock_gettime(CLOCK_BOOTTIME, &Since);
+    return TimePoint(std::chrono::seconds(Since.tv_sec) +
+                     std::chrono::nanoseconds(Since.tv_nsec));
+  }
   WallTime wallNow() const override { return std::chrono::system_clock::now(); }
 };
 
--- a/libs/gateway/src/CallAttempts.cpp
+++ b/libs/gateway/src/CallAttempts.cpp
@@ -93,8 +93,7 @@
   else if (!Of->m_HedgeConsidered && !Of->m_Attempts.empty() &&
            Of->m_Route->isIdempotent())
     At = std::min(At, hedgeAt(*Of, *Of->m_Attempts.back()));
-  Of->m_Timer->expires_at(
-      std::chrono::time_point_cast<std::chrono::steady_clock::duration>(At));
+  Of->m_Timer->expires_after(At - m_State.now());
   Of->m_Timer->async_wait([this, Of](const error_code &Ended) {
     if (!Ended)
       timerFired(Of);
--- a/libs/gateway/src/CallHost.cpp
+++ b/libs/gateway/src/CallHost.cpp
@@ -234,9 +234,7 @@
   end(Of, "gone", 0, "caller_left");
   if (!Of->m_LeaveRunning)
     return;
-  Of->m_Timer->expires_at(
-      std::chrono::time_point_cast<std::chrono::steady_clock::duration>(
-          Of->m_EndAt));
+  Of->m_Timer->expires_after(Of->m_EndAt - m_State.now());
   Of->m_Timer->async_wait([this, Of](const error_code &Ended) {
     if (!Ended)
       endAttempts(Of);
