--- a/libs/dispatch/include/hyssopcross/dispatch/Servers.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Servers.h
@@ -167,8 +167,8 @@
 void noteReport(Server &Of, const LoadReport &Report, Duration Age,
                 TimePoint Now);
 
-/// Takes in a promise, given with a report: for so long its teller tells at once
-/// if the speed changes.
+/// Takes in a promise, given with a report: for so long its teller tells at
+/// once if the speed changes.
 void noteHolds(Server &Of, Duration For, TimePoint Now);
 
 /// The last report of a server that a VM told others.
