--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -25,7 +25,7 @@
 
 /// Bytes read ahead of the parser: a head, or the line before a chunk, that
 /// does not fit is no answer.
-constexpr size_t BufferBytes = 64 * 1024;
+constexpr size_t BufferBytes = 64UL * 1024;
 /// An unfinished answer of less than this part of what may be held is never
 /// given up, so that an endless one does not cost others theirs.
 constexpr uint64_t LargeAnswerPart = 16;
