Decode and log the request limit that servers name

The incident's logs cannot tell whether a VM has read the limit of a server: the header was passed on to the caller and decoded nowhere. It is now decoded by the adapter, kept with the server's other notices for one incarnation, and logged when it changes or ends: request_limit, request_limit_lifted, request_limit_malformed, with counters of the same names. Decisions are as before.

An answer without the header ends the limit only if it is complete and was sent after the limit was last named; a check only if checks have named it.

--- a/libs/dispatch/include/hyssopcross/dispatch/Servers.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Servers.h
@@ -4,6 +4,7 @@
 #include "hyssopcross/base/Clock.h"
 #include "hyssopcross/base/Settings.h"
 #include "hyssopcross/dispatch/Policy.h"
+#include "hyssopcross/dispatch/RequestLimit.h"
 #include "hyssopcross/dispatch/ServiceModel.h"
 #include <cstdint>
 #include <deque>
@@ -56,9 +57,10 @@
   TimePoint m_UpdatedAt;
 };
 
-/// Drain and refusal state that a server has announced in its responses. It is
-/// kept while the server is missing from service discovery, where it may be
-/// registered again, and applies to one incarnation only.
+/// Drain and refusal state and the request limit that a server has announced in
+/// its responses. It is kept while the server is missing from service
+/// discovery, where it may be registered again, and applies to one incarnation
+/// only.
 struct ServerNotice {
   int64_t m_Incarnation = 0;
   /// The server is draining: it receives no further requests, whatever its
@@ -66,6 +68,7 @@
   bool m_IsLeaving = false;
   /// End of the period in which it refuses requests from this VM.
   TimePoint m_RefusesUntil{};
+  RequestLimit m_Limit;
   TimePoint m_NotedAt{};
 };
 
@@ -160,6 +163,11 @@
 void recordRefusal(ServerView &View, std::string_view Id, int64_t Incarnation,
                    Duration For, TimePoint Now);
 
+/// Applies what a response of an incarnation of a server shows of its request
+/// limit. Returns whether the rate has changed.
+bool recordLimit(ServerView &View, std::string_view Id, int64_t Incarnation,
+                 const LimitObservation &Seen, TimePoint Now);
+
 /// Removes the notices of unregistered servers that are older than the
 /// retention time.
 void expireNotices(ServerView &View, const DispatchPolicy &Policy,
--- a/libs/dispatch/src/Servers.cpp
+++ b/libs/dispatch/src/Servers.cpp
@@ -38,13 +38,13 @@
 /// something.
 ServerNotice *findOrCreateNotice(ServerView &View, std::string_view Id,
                                  int64_t Incarnation, TimePoint Now) {
-  ServerNotice &Notice =
-      View.m_Notices.try_emplace(std::string(Id), ServerNotice{Incarnation})
-          .first->second;
-  if (Incarnation < Notice.m_Incarnation)
+  auto [Found, IsNew] = View.m_Notices.try_emplace(std::string(Id));
+  ServerNotice &Notice = Found->second;
+  if (!IsNew && Incarnation < Notice.m_Incarnation)
     return nullptr;
   if (Incarnation > Notice.m_Incarnation)
-    Notice = {Incarnation};
+    Notice = {};
+  Notice.m_Incarnation = Incarnation;
   Notice.m_NotedAt = Now;
   return &Notice;
 }
@@ -162,6 +162,15 @@
     Listed->m_RefusesUntil = Notice->m_RefusesUntil;
 }
 
+bool recordLimit(ServerView &View, std::string_view Id, int64_t Incarnation,
+                 const LimitObservation &Seen, TimePoint Now) {
+  // Most servers never name a limit and need no notice.
+  if (!Seen.m_PerSecond && View.m_Notices.find(Id) == View.m_Notices.end())
+    return false;
+  ServerNotice *Notice = findOrCreateNotice(View, Id, Incarnation, Now);
+  return Notice && observeLimit(Notice->m_Limit, Seen, Now);
+}
+
 void expireNotices(ServerView &View, const DispatchPolicy &Policy,
                    TimePoint Now) {
   std::erase_if(View.m_Notices, [&](const auto &Each) {
--- a/libs/gateway/include/hyssopcross/gateway/PlatformCodec.h
+++ b/libs/gateway/include/hyssopcross/gateway/PlatformCodec.h
@@ -85,6 +85,11 @@
   /// is not a valid duration.
   std::function<Result<std::optional<Duration>>(const http::Response &)>
       m_DecodeRetryAfter;
+  /// Requests per second that the server takes from all VMs together; absent if
+  /// the response names no limit. Fails with Protocol if the value is not a
+  /// valid rate.
+  std::function<Result<std::optional<double>>(const http::Response &)>
+      m_DecodeRequestLimit;
   /// The id of the server that answered a health check; empty if the response
   /// does not state it.
   std::function<std::string(const http::Response &)> m_DecodeServerId;
--- a/libs/gateway/src/CallAttempts.cpp
+++ b/libs/gateway/src/CallAttempts.cpp
@@ -210,10 +210,11 @@
   TimePoint Now = m_State.now();
   Duration Took = Now - Which.m_SentAt;
   m_State.m_Metrics.noteAttempt(http::exchangeEndName(Result.m_End), Took);
-  bool LeavesNow =
-      Result.m_End == http::ExchangeEnd::Answered &&
-      noteServerNotices(m_State, Which.m_Server, Which.m_Incarnation,
-                        Result.m_Answer, "answer");
+  NoticeChanges Changes;
+  if (Result.m_End == http::ExchangeEnd::Answered)
+    Changes = noteServerNotices(
+        m_State, {Which.m_Server, Which.m_Incarnation, Result.m_Answer, false,
+                  End == dispatch::AttemptEnd::Answered, Which.m_SentAt});
   auto Found = m_State.m_Servers.m_Servers.find(Which.m_Server);
   if (Found == m_State.m_Servers.m_Servers.end())
     return;
@@ -231,7 +232,7 @@
                                     m_State.m_Settings.m_Dispatch, *Seen);
   }
   m_Fleet.queueAttemptOutcome(At, End == dispatch::AttemptEnd::Answered, Seen);
-  if (LeavesNow)
+  if (Changes.m_LeavesNow)
     m_Fleet.queueLeaving(At);
   if (!WasEjected && Now < At.m_EjectedUntil)
     logEvent(LogLevel::Warning, "server_ejected",
--- a/libs/gateway/src/HealthChecker.cpp
+++ b/libs/gateway/src/HealthChecker.cpp
@@ -181,8 +181,9 @@
       m_State.m_PlatformCodec.m_DecodeServerId(Result.m_Answer);
   if (!Answered.empty() && Answered != Id)
     return missed(Id, "other_server");
-  bool LeavesNow =
-      noteServerNotices(m_State, Id, Incarnation, Result.m_Answer, "check");
+  NoticeChanges Changes = noteServerNotices(
+      m_State, {Id, Incarnation, Result.m_Answer, true,
+                Result.m_Answer.result_int() == 200, Mine->second.m_StartedAt});
   Mine->second.m_Misses = 0;
   auto Load = m_State.m_PlatformCodec.m_DecodeLoad(Result.m_Answer);
   Mine->second.m_ReportsLoad = Load.has_value();
@@ -195,7 +196,7 @@
            .empty();
   if (Result.m_Answer.result_int() != 200 && !WasRefused)
     Report.m_Health = dispatch::LoadReport::Health::Unhealthy;
-  report(Found->second, Mine->second, Report, LeavesNow);
+  report(Found->second, Mine->second, Report, Changes.m_LeavesNow);
 }
 
 void HealthChecker::missed(const std::string &Id, const char *Why) {
--- a/libs/gateway/src/NodeState.cpp
+++ b/libs/gateway/src/NodeState.cpp
@@ -33,29 +33,74 @@
   return true;
 }
 
-bool noteServerNotices(NodeState &State, const std::string &Id,
-                       int64_t Incarnation, const http::Response &Answer,
-                       const char *Source) {
-  auto Refusal = State.m_PlatformCodec.m_DecodeRetryAfter(Answer);
+namespace {
+
+void noteRefusal(NodeState &State, const ServerResponse &From,
+                 const char *Source) {
+  auto Refusal = State.m_PlatformCodec.m_DecodeRetryAfter(From.m_Answer);
   if (!Refusal) {
     State.m_Metrics.count("refusal_time_malformed");
     logEvent(LogLevel::Warning, "refusal_time_malformed",
-             {{"server", Id},
+             {{"server", From.m_Server},
               {"error", Refusal.error().m_Message},
               {"outcome", "ignored"}});
-  } else if (Refusal.value()) {
-    Duration For = std::min(*Refusal.value(),
-                            State.m_Settings.m_Dispatch.m_MaxRefusalTime);
-    dispatch::recordRefusal(State.m_Servers, Id, Incarnation, For, State.now());
-    State.m_Metrics.count("server_refuses");
-    logEvent(LogLevel::Info, "server_refuses",
-             {{"server", Id},
-              {"told_by", Source},
-              {"told_ms", toMillis(*Refusal.value())},
-              {"for_ms", toMillis(For)}});
+    return;
+  }
+  if (!Refusal.value())
+    return;
+  Duration For =
+      std::min(*Refusal.value(), State.m_Settings.m_Dispatch.m_MaxRefusalTime);
+  dispatch::recordRefusal(State.m_Servers, From.m_Server, From.m_Incarnation,
+                          For, State.now());
+  State.m_Metrics.count("server_refuses");
+  logEvent(LogLevel::Info, "server_refuses",
+           {{"server", From.m_Server},
+            {"told_by", Source},
+            {"told_ms", toMillis(*Refusal.value())},
+            {"for_ms", toMillis(For)}});
+}
+
+bool noteLimit(NodeState &State, const ServerResponse &From,
+               const char *Source) {
+  auto Limit = State.m_PlatformCodec.m_DecodeRequestLimit(From.m_Answer);
+  if (!Limit) {
+    State.m_Metrics.count("request_limit_malformed");
+    logEvent(LogLevel::Warning, "request_limit_malformed",
+             {{"server", From.m_Server},
+              {"error", Limit.error().m_Message},
+              {"outcome", "ignored"}});
+    return false;
   }
-  return State.m_PlatformCodec.m_DecodeIsLeaving(Answer) &&
-         noteLeaving(State, Id, Incarnation, Source);
+  bool Changed = dispatch::recordLimit(
+      State.m_Servers, From.m_Server, From.m_Incarnation,
+      {Limit.value(), From.m_IsCheck, From.m_IsComplete, From.m_SentAt},
+      State.now());
+  if (Changed)
+    logLimit(State, From.m_Server, From.m_Incarnation, Limit.value(), Source);
+  return Changed;
+}
+
+} // namespace
+
+void logLimit(NodeState &State, const std::string &Id, int64_t Incarnation,
+              std::optional<double> PerSecond, const char *Source) {
+  State.m_Metrics.count(PerSecond ? "request_limit" : "request_limit_lifted");
+  logEvent(LogLevel::Info, PerSecond ? "request_limit" : "request_limit_lifted",
+           {{"server", Id},
+            {"incarnation", Incarnation},
+            {"per_second", PerSecond.value_or(0)},
+            {"told_by", Source}});
+}
+
+NoticeChanges noteServerNotices(NodeState &State, const ServerResponse &From) {
+  const char *Source = From.m_IsCheck ? "check" : "answer";
+  noteRefusal(State, From, Source);
+  NoticeChanges Changes;
+  Changes.m_LimitChanged = noteLimit(State, From, Source);
+  Changes.m_LeavesNow =
+      State.m_PlatformCodec.m_DecodeIsLeaving(From.m_Answer) &&
+      noteLeaving(State, From.m_Server, From.m_Incarnation, Source);
+  return Changes;
 }
 
 void logServiceModels(const NodeState &State) {
--- a/libs/gateway/src/NodeState.h
+++ b/libs/gateway/src/NodeState.h
@@ -97,19 +97,39 @@
 void noteReport(NodeState &State, dispatch::Server &Of,
                 const dispatch::LoadReport &Report);
 
-/// Applies the notices that an incarnation of a server gives in a response:
-/// that it is shutting down, or that it wants no requests for some time. Source
-/// names the kind of response in the log. Returns whether the shutdown was not
-/// known before.
-bool noteServerNotices(NodeState &State, const std::string &Id,
-                       int64_t Incarnation, const http::Response &Answer,
-                       const char *Source);
+/// A response of an incarnation of a server, to a request or a health check.
+struct ServerResponse {
+  const std::string &m_Server;
+  int64_t m_Incarnation = 0;
+  const http::Response &m_Answer;
+  bool m_IsCheck = false;
+  /// The server has handled the request.
+  bool m_IsComplete = false;
+  TimePoint m_SentAt;
+};
+
+/// What a response changed in the notices of its server.
+struct NoticeChanges {
+  /// The server is shutting down, which was not known before.
+  bool m_LeavesNow = false;
+  bool m_LimitChanged = false;
+};
+
+/// Applies the notices that a server gives in a response: that it is shutting
+/// down, that it wants no requests for some time, or how many requests per
+/// second it takes from all VMs together.
+NoticeChanges noteServerNotices(NodeState &State, const ServerResponse &From);
 
 /// Records that an incarnation of a server is shutting down; returns whether
 /// this was not known before.
 bool noteLeaving(NodeState &State, const std::string &Id, int64_t Incarnation,
                  const char *Source);
 
+/// Logs that the request limit of a server has changed; PerSecond is empty if
+/// it was lifted.
+void logLimit(NodeState &State, const std::string &Id, int64_t Incarnation,
+              std::optional<double> PerSecond, const char *Source);
+
 /// Logs the parameters that this VM has estimated for each service's servers.
 void logServiceModels(const NodeState &State);
 
