Let a limited server get the requests of one second at once

A server that names 3 requests a second got at most 1.5 of them at once, so requests that came a little closer together were refused although the limits admit them.

--- a/libs/dispatch/include/hyssopcross/dispatch/Policy.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Policy.h
@@ -85,7 +85,7 @@
   Duration m_MaxRefusalTime = std::chrono::minutes(10);
   /// A server that names a request limit may get the requests of this time at
   /// once, and always a single one.
-  Duration m_LimitBurst = std::chrono::milliseconds(500);
+  Duration m_LimitBurst = std::chrono::seconds(1);
   /// Lowest rate, in requests per second, at which a limited server is used: it
   /// may show only in an answer that the limit has ended.
   double m_MinLimitedRate = 0.1;
--- a/libs/dispatch/tests/LimitedFleetTest.cpp
+++ b/libs/dispatch/tests/LimitedFleetTest.cpp
@@ -280,6 +280,12 @@
     {"a single VM", 1, 3, 3, 5, 60},
 };
 
+/// Loads that the limits of all servers just admit, but not evenly.
+const LimitedLoad LoadsWithinLimits[] = {
+    {"nine tenths of the limits", 12, 9, 9, 3, 24},
+    {"nine tenths of the limits, many VMs", 40, 13, 13, 3, 35},
+};
+
 } // namespace
 
 // Guards against VMs that each keep a server's limit alone, and against those
@@ -301,6 +307,20 @@
     }
 }
 
+// Guards against refusals of requests that arrive a little closer together than
+// the named rate.
+TEST_CASE("a load within the limits is hardly refused") {
+  for (const LimitedLoad &Each : LoadsWithinLimits)
+    for (uint32_t Seed : {1U, 2U, 3U}) {
+      CAPTURE(std::string(Each.m_Name));
+      CAPTURE(Seed);
+      LimitedFleet Fleet(Each, DispatchPolicy(), Seed);
+      Fleet.simulate(30s);
+      CHECK(Fleet.mostInWindow() <= allowedInWindow(Each.m_Limit));
+      CHECK(Fleet.m_Refused <= Each.m_Rate * 30 * 0.02);
+    }
+}
+
 TEST_CASE("without the mechanism, servers get more than they named") {
   DispatchPolicy Policy;
   REQUIRE(disableMechanism(Policy, "keep_request_limits"));
--- a/libs/dispatch/tests/NoticesTest.cpp
+++ b/libs/dispatch/tests/NoticesTest.cpp
@@ -312,8 +312,10 @@
     REQUIRE((activeLimitOf(Target) != nullptr) == Each.m_IsLimited);
     if (Each.m_IsLimited)
       CHECK(activeLimitOf(Target)->m_PerSecond == 2.0);
-    // The limit admits one request and then another after half a second.
+    // The limit admits two requests and then another after half a second.
     recordSend(Target, DispatchPolicy(), Start);
+    recordSend(Target, DispatchPolicy(), Start);
+    Target.m_OwnInFlight = 0;
     CHECK((decideAt(View, Start).m_Verdict == Verdict::Send) !=
           Each.m_IsLimited);
     CHECK(decideAt(View, Start + 500ms).m_Verdict == Verdict::Send);
@@ -327,6 +329,7 @@
   registerServer(View, "s", 7, Start);
   recordLimit(View, "s", 7, {2.0, false, true, Start}, Start);
   recordSend(View.m_Servers.at("s"), DispatchPolicy(), Start);
+  recordSend(View.m_Servers.at("s"), DispatchPolicy(), Start);
   recordReport(View.m_Servers.at("s"), LoadReport(), 0ms, Start);
   CallInputs Call;
   Call.m_Service = "service";
