Tell a server's leaving to VMs that do not have it registered

Callers saw nothing; a server that had said that it leaves got one request more, and a server whose record was missing at that moment went on being used by the other VMs.

Cause: an announcement went only to VMs, and from VMs, that had the server registered at that moment. It waited a millisecond for other check results and was dropped if the record had gone by then; a receiver without the record dropped it too, although both keep notices for servers that come back. A VM that starts was not told what registered servers had announced before.

Ruled out as a cause: load (12 runs of the test beside six busy processes and 10 beside a build passed on the old code).

Why this works: the announcement names the server by its id and incarnation, is sent at once and from the notice rather than from the list of servers, is kept by receivers whether or not they have the record, and is repeated in the reply to a VM's greeting, together with request limits. Reports of checks still carry it for VMs of an older build.

--- a/libs/dispatch/include/hyssopcross/dispatch/Servers.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Servers.h
@@ -154,8 +154,8 @@
 void setDataCentreDisabled(ServerView &View, std::string_view DataCentre,
                            bool IsDisabled);
 
-/// Records that an incarnation of a server has announced that it is draining.
-/// Returns whether this changes the state of a registered server.
+/// Records that an incarnation of a server, registered or not, has announced
+/// that it is draining. Returns whether this was not known before.
 bool recordDraining(ServerView &View, std::string_view Id, int64_t Incarnation,
                     TimePoint Now);
 
--- a/libs/dispatch/src/Servers.cpp
+++ b/libs/dispatch/src/Servers.cpp
@@ -150,9 +150,9 @@
   ServerNotice *Notice = findOrCreateNotice(View, Id, Incarnation, Now);
   if (!Notice)
     return false;
-  Notice->m_IsLeaving = true;
-  Server *Listed = findListed(View, Id, Incarnation);
-  return Listed && !std::exchange(Listed->m_HasAnnouncedDraining, true);
+  if (Server *Listed = findListed(View, Id, Incarnation))
+    Listed->m_HasAnnouncedDraining = true;
+  return !std::exchange(Notice->m_IsLeaving, true);
 }
 
 void recordRefusal(ServerView &View, std::string_view Id, int64_t Incarnation,
--- a/libs/fleet/fleet.thrift
+++ b/libs/fleet/fleet.thrift
@@ -112,6 +112,13 @@
   3: optional bool partial,
 }
 
+// A backend server that has announced in a response that it is leaving.
+struct Leaving {
+  // The whole id: the receiver may not have the server in its list.
+  1: string server,
+  2: i64 incarnation,
+}
+
 struct Datagram {
   1: i32 sender,
   2: i64 incarnation,
@@ -128,4 +135,5 @@
   10: optional list<Rows> rows,
   11: optional list<Digest> digests,
   12: optional list<RequestLimit> limits,
+  13: optional list<Leaving> leaving,
 }
--- a/libs/fleet/include/hyssopcross/fleet/Datagram.h
+++ b/libs/fleet/include/hyssopcross/fleet/Datagram.h
@@ -50,6 +50,13 @@
   Duration m_Age{};
 };
 
+/// An incarnation of a server that has announced in a response that it is
+/// leaving.
+struct ServerLeaving {
+  std::string m_Server;
+  int64_t m_Incarnation = 0;
+};
+
 /// Rows of a followed table that one VM forwards to others.
 struct TableRows {
   uint32_t m_Table = 0;
@@ -83,6 +90,7 @@
   std::vector<TableRows> m_Rows;
   std::vector<Digest> m_Digests;
   std::vector<ServerLimit> m_Limits;
+  std::vector<ServerLeaving> m_Leaving;
 };
 
 /// Encodes a datagram with Thrift's compact protocol.
--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -293,6 +293,15 @@
     for (const ServerLimit &Each : Message.m_Limits)
       Output.limits.push_back(toWire(Each));
   }
+  if (!Message.m_Leaving.empty()) {
+    Output.__isset.leaving = true;
+    for (const ServerLeaving &Each : Message.m_Leaving) {
+      wire::Leaving Server;
+      Server.server = Each.m_Server;
+      Server.incarnation = Each.m_Incarnation;
+      Output.leaving.push_back(std::move(Server));
+    }
+  }
   return encode(Output);
 }
 
@@ -334,6 +343,8 @@
     Output.m_Digests.push_back(fromWire(Each));
   for (const wire::RequestLimit &Each : Read.limits)
     Output.m_Limits.push_back(fromWire(Each));
+  for (wire::Leaving &Each : Read.leaving)
+    Output.m_Leaving.push_back({std::move(Each.server), Each.incarnation});
   return Output;
 }
 
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -358,6 +358,7 @@
                    {"i-3", 1768123339040, 0.0, 0ms}};
   Sent.m_KnownHosts = {"10.0.0.3"};
   Sent.m_Following = Following{true, {5, 7}};
+  Sent.m_Leaving = {{"i-4", 1768123339041}};
   TableRows Rows;
   Rows.m_Table = 1;
   Rows.m_After = 5;
@@ -386,6 +387,9 @@
   CHECK(Read.value().m_Limits[0].m_Age == 20ms);
   CHECK_FALSE(Read.value().m_Limits[1].m_PerSecond);
   CHECK(Read.value().m_Limits[2].m_PerSecond == 0.0);
+  REQUIRE(Read.value().m_Leaving.size() == 1);
+  CHECK(Read.value().m_Leaving[0].m_Server == "i-4");
+  CHECK(Read.value().m_Leaving[0].m_Incarnation == 1768123339041);
   CHECK(Read.value().m_Rows[0].m_Batch.m_Rows[1].m_Removed);
   CHECK(decodeRows(encodeRows(Rows)));
 }
--- a/libs/gateway/src/CallAttempts.cpp
+++ b/libs/gateway/src/CallAttempts.cpp
@@ -215,6 +215,8 @@
     Changes = noteServerNotices(
         m_State, {Which.m_Server, Which.m_Incarnation, Result.m_Answer, false,
                   End == dispatch::AttemptEnd::Answered, Which.m_SentAt});
+  if (Changes.m_LeavesNow)
+    m_Fleet.queueLeaving(Which.m_Server, Which.m_Incarnation);
   auto Found = m_State.m_Servers.m_Servers.find(Which.m_Server);
   if (Found == m_State.m_Servers.m_Servers.end())
     return;
@@ -232,8 +234,6 @@
                                     m_State.m_Settings.m_Dispatch, *Seen);
   }
   m_Fleet.queueAttemptOutcome(At, End == dispatch::AttemptEnd::Answered, Seen);
-  if (Changes.m_LeavesNow)
-    m_Fleet.queueLeaving(At);
   if (Changes.m_LimitChanged)
     m_Fleet.queueLimit(At);
   if (!WasEjected && Now < At.m_EjectedUntil)
--- a/libs/gateway/src/FleetMessenger.cpp
+++ b/libs/gateway/src/FleetMessenger.cpp
@@ -17,6 +17,8 @@
 /// Largest size of a datagram with rows; for larger batches the rows are only
 /// announced, and the receivers fetch them.
 constexpr size_t MaxRowBytes = 12288;
+/// Notices of servers in the reply to a greeting, some 30 bytes each.
+constexpr size_t MaxGreetingNotices = 200;
 
 fleet::ServerReport reportOf(const dispatch::Server &Of) {
   fleet::ServerReport Made{Of.m_Key, Of.m_Report, std::nullopt};
@@ -127,9 +129,20 @@
           fleet::makeLocalDigest(m_State.m_Fleet, m_State.now()));
     }
   }
+  addNotices(Reply);
   send(fleet::encodeDatagram(Reply), From.m_Host);
 }
 
+void FleetMessenger::addNotices(fleet::Datagram &To) const {
+  for (const auto &[Id, Of] : m_State.m_Servers.m_Servers) {
+    if (To.m_Leaving.size() + To.m_Limits.size() >= MaxGreetingNotices)
+      return;
+    addLimit(To, Of, m_State.now());
+    if (Of.m_HasAnnouncedDraining)
+      To.m_Leaving.push_back({Id, Of.m_Record.m_Incarnation});
+  }
+}
+
 void FleetMessenger::applyDigests(const fleet::Datagram &Message,
                                   const fleet::VmInfo &From) {
   fleet::Datagram Passed;
@@ -323,6 +336,8 @@
   for (const fleet::TableRows &Each : Message.m_Rows)
     m_Handlers.m_OnTableRows(Each);
   applyLimits(Message);
+  for (const fleet::ServerLeaving &Each : Message.m_Leaving)
+    noteLeaving(m_State, Each.m_Server, Each.m_Incarnation, "vm");
   auto &ByKey = m_State.m_Servers.m_ByKey;
   for (const fleet::ServerReport &Each : Message.m_Reports) {
     auto Found = ByKey.find(Each.m_Server);
@@ -378,6 +393,9 @@
   IsChange = IsChange || News.m_Result == dispatch::CheckResult::Change;
   m_CheckStandbys.insert(News.m_Standbys.begin(), News.m_Standbys.end());
   m_ChecksAreForAll = m_ChecksAreForAll || News.m_IsForAll;
+  if (News.m_LeavesNow)
+    queueLeaving(News.m_Server.m_Record.m_Id,
+                 News.m_Server.m_Record.m_Incarnation);
   scheduleCheckUpdates();
 }
 
@@ -409,8 +427,10 @@
   scheduleServerUpdates();
 }
 
-void FleetMessenger::queueLeaving(const dispatch::Server &Of) {
-  queueCheckUpdate({Of, {}, true});
+void FleetMessenger::queueLeaving(const std::string &Server,
+                                  int64_t Incarnation) {
+  m_PendingLeaving.push_back({Server, Incarnation});
+  scheduleServerUpdates();
 }
 
 void FleetMessenger::sendTableRows(const fleet::TableRows &Rows) {
@@ -532,6 +552,11 @@
 }
 
 void FleetMessenger::sendServerUpdates() {
+  if (!m_PendingLeaving.empty()) {
+    fleet::Datagram News = newDatagram();
+    News.m_Leaving = std::exchange(m_PendingLeaving, {});
+    sendToAll(fleet::encodeDatagram(News));
+  }
   // Group servers used by the same VMs into one datagram.
   std::map<std::vector<std::string>, fleet::Datagram> ByUsers;
   auto &Servers = m_State.m_Servers.m_Servers;
--- a/libs/gateway/src/FleetMessenger.h
+++ b/libs/gateway/src/FleetMessenger.h
@@ -53,8 +53,9 @@
   void queueInFlight(const dispatch::Server &Of);
   /// Queues the request limit of a server for the same datagram.
   void queueLimit(const dispatch::Server &Of);
-  /// Queues for all VMs the notice that a server is shutting down.
-  void queueLeaving(const dispatch::Server &Of);
+  /// Queues for all VMs the notice that a server, registered or not, is
+  /// shutting down.
+  void queueLeaving(const std::string &Server, int64_t Incarnation);
   /// Notifies all VMs that the store has just answered this one.
   void sendStoreConfirmation();
   /// Forwards rows to all VMs. If they do not fit in a datagram, only announces
@@ -77,6 +78,9 @@
   /// Applies digests, and forwards those from other data centres that are new
   /// to the VMs of this data centre.
   void applyDigests(const fleet::Datagram &Message, const fleet::VmInfo &From);
+  /// Adds what registered servers have announced, for a VM that has just
+  /// started.
+  void addNotices(fleet::Datagram &To) const;
   /// Whether this VM started so recently that it is still discovering the
   /// others.
   bool isNew() const;
@@ -125,6 +129,7 @@
     std::optional<dispatch::OccupancySample> m_Stretch;
   };
   std::map<std::string, PendingServerUpdate> m_PendingServerUpdates;
+  std::vector<fleet::ServerLeaving> m_PendingLeaving;
   std::map<std::string, Users> m_Users;
   uint64_t m_CheckBatchCount = 0;
   TimePoint m_DigestAt{};
--- a/libs/gateway/src/HealthChecker.cpp
+++ b/libs/gateway/src/HealthChecker.cpp
@@ -242,7 +242,8 @@
     Result = dispatch::CheckResult::Change;
   if (Result != dispatch::CheckResult::Known)
     Mine.m_Told = {Report, m_State.now()};
-  m_Handler({Of, dutyFor(Of, Mine).m_Standbys, IsForAll, Result});
+  m_Handler({Of, dutyFor(Of, Mine).m_Standbys, IsForAll, Result,
+             Changes.m_LeavesNow});
 }
 
 } // namespace hyssopcross::gateway
--- a/libs/gateway/src/HealthChecker.h
+++ b/libs/gateway/src/HealthChecker.h
@@ -17,6 +17,9 @@
   /// Whether all VMs need the result.
   bool m_IsForAll = false;
   dispatch::CheckResult m_Result = dispatch::CheckResult::Change;
+  /// The check announced that the server is shutting down, which was not known
+  /// before.
+  bool m_LeavesNow = false;
 };
 
 /// Checks the health of the servers assigned to this VM. One VM checks each
