Keep what another server announces at an address from the one that was meant

A server that has taken over the address of another one answers 421 and may announce in that answer that it leaves or how much it takes, and how loaded it is. Each of these was kept against the server that the request was for: if that server lived on at a new address under its id, callers got 503 although it was healthy.

--- a/libs/gateway/src/CallAttempts.cpp
+++ b/libs/gateway/src/CallAttempts.cpp
@@ -14,6 +14,8 @@
 /// unnoticed.
 constexpr Duration NonIdempotentMaxIdle = std::chrono::seconds(3);
 constexpr Duration IdempotentMaxIdle = std::chrono::seconds(60);
+/// Status of a server that is not the one that the request names.
+constexpr unsigned MisdirectedStatus = 421;
 
 } // namespace
 
@@ -210,8 +212,11 @@
   TimePoint Now = m_State.now();
   Duration Took = Now - Which.m_SentAt;
   m_State.m_Metrics.noteAttempt(http::exchangeEndName(Result.m_End), Took);
+  // Another server that has taken over the address speaks for itself.
+  bool IsFromServer = Result.m_End == http::ExchangeEnd::Answered &&
+                      Result.m_Answer.result_int() != MisdirectedStatus;
   NoticeChanges Changes;
-  if (Result.m_End == http::ExchangeEnd::Answered)
+  if (IsFromServer)
     Changes = noteServerNotices(
         m_State, {Which.m_Server, Which.m_Incarnation, Result.m_Answer, false,
                   End == dispatch::AttemptEnd::Answered, Which.m_SentAt});
@@ -241,7 +246,7 @@
              {{"server", Which.m_Server},
               {"failures", At.m_FailuresInRow},
               {"for_ms", toMillis(At.m_EjectedUntil - Now)}});
-  if (Result.m_End != http::ExchangeEnd::Answered)
+  if (!IsFromServer)
     return;
   auto Load = m_State.m_PlatformCodec.m_DecodeLoad(Result.m_Answer);
   if (End == dispatch::AttemptEnd::Answered)
@@ -267,7 +272,7 @@
   Made.m_IsAnswer = Result.m_End == http::ExchangeEnd::Answered;
   Made.m_NotRun = Result.m_End == http::ExchangeEnd::NotSent ||
                   (Made.m_IsAnswer &&
-                   (Status == 421 ||
+                   (Status == MisdirectedStatus ||
                     !http::headerOf(Headers, Names.m_NotExecuted).empty()));
   Made.m_IsSigned =
       Made.m_IsAnswer && !http::headerOf(Headers, Names.m_Signature).empty();
