Send request limits between VMs exactly, and leave out what is no rate

A limit was sent in thousandths of a request a second. A VM that had read 2.3456 from an answer and 2.345 from another VM took each for a change, logged it and told the others again. It is sent as it was read now; a rate that is negative or no number is left out. Tests of the datagram cover both; also the count of VMs that quotas are divided by, which had no test.

--- a/libs/fleet/fleet.thrift
+++ b/libs/fleet/fleet.thrift
@@ -87,8 +87,8 @@
   // The whole id: the receiver may not have the server in its list yet.
   1: string server,
   2: i64 incarnation,
-  // Requests in a thousand seconds; absent if it no longer names a limit.
-  3: optional i64 perThousandSeconds,
+  // Absent if it no longer names a limit.
+  3: optional double perSecond,
   // Time since the response.
   4: i32 ageMillis,
 }
--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -1,6 +1,7 @@
 #include "hyssopcross/fleet/Datagram.h"
 #include "fleet_types.h"
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -16,9 +17,6 @@
 /// snapshot.
 constexpr int32_t MaxBytes = 16 * 1024 * 1024;
 
-/// Higher request limits of servers are clamped; no server reaches this rate.
-constexpr double MaxRequestsPerSecond = 1e9;
-
 /// Converts a count to the 16 bits of the wire format. Counts of servers and
 /// requests are small; larger values are clamped.
 int16_t toInt16(uint32_t Count) {
@@ -126,20 +124,21 @@
   Output.server = From.m_Server;
   Output.incarnation = From.m_Incarnation;
   if (From.m_PerSecond)
-    Output.__set_perThousandSeconds(static_cast<int64_t>(
-        std::min(*From.m_PerSecond, MaxRequestsPerSecond) * 1000));
+    Output.__set_perSecond(*From.m_PerSecond);
   Output.ageMillis = toMillis32(From.m_Age);
   return Output;
 }
 
+bool isRate(double PerSecond) {
+  return std::isfinite(PerSecond) && PerSecond >= 0;
+}
+
 ServerLimit fromWire(const wire::RequestLimit &From) {
   ServerLimit Output;
   Output.m_Server = From.server;
   Output.m_Incarnation = From.incarnation;
-  if (From.__isset.perThousandSeconds)
-    Output.m_PerSecond =
-        static_cast<double>(std::max<int64_t>(0, From.perThousandSeconds)) /
-        1000;
+  if (From.__isset.perSecond)
+    Output.m_PerSecond = From.perSecond;
   Output.m_Age = std::chrono::milliseconds(std::max(0, From.ageMillis));
   return Output;
 }
@@ -342,7 +341,8 @@
   for (const wire::Digest &Each : Read.digests)
     Output.m_Digests.push_back(fromWire(Each));
   for (const wire::RequestLimit &Each : Read.limits)
-    Output.m_Limits.push_back(fromWire(Each));
+    if (!Each.__isset.perSecond || isRate(Each.perSecond))
+      Output.m_Limits.push_back(fromWire(Each));
   for (wire::Leaving &Each : Read.leaving)
     Output.m_Leaving.push_back({std::move(Each.server), Each.incarnation});
   return Output;
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -1,6 +1,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "hyssopcross/fleet/Datagram.h"
 #include "hyssopcross/fleet/Membership.h"
+#include <cmath>
 #include <doctest/doctest.h>
 #include <random>
 #include <set>
@@ -338,6 +339,23 @@
   }
 }
 
+TEST_CASE("quotas are shared with all VMs that may be alive") {
+  const TimePoint Now{1h};
+  Fleet State;
+  State.m_Self = makeVm("10.0.0.1", "dc");
+  CHECK(quotaDivisor(State) == 1);
+  updatePeer(State, makeVm("10.0.0.2", "dc"), Now);
+  CHECK(quotaDivisor(State) == 2);
+  // Another VM has named it, and it has not been heard yet.
+  addPeerAddress(State, "10.0.0.3", Now);
+  CHECK(quotaDivisor(State) == 3);
+  updatePeer(State, makeVm("10.0.0.3", "dc"), Now);
+  CHECK(quotaDivisor(State) == 3);
+  // A VM that has failed leaves its part to the others.
+  expirePeers(State, FleetPolicy(), Now + FleetPolicy().m_FailureTimeout + 1s);
+  CHECK(quotaDivisor(State) == 1);
+}
+
 TEST_CASE("a datagram survives encoding and decoding") {
   Datagram Sent;
   Sent.m_Sender = 0xfedcba98;
@@ -353,7 +371,7 @@
   Sent.m_Reports = {{0x80000001, Load, std::nullopt, 200ms},
                     {0x80000003, Load, 1768123339038}};
   Sent.m_InFlight = {{0x80000002, 3, 1, 2, {{2, 1, 1.75}}, 70000}};
-  Sent.m_Limits = {{"i-1", 1768123339038, 1.7, 20ms},
+  Sent.m_Limits = {{"i-1", 1768123339038, 1.70001, 20ms},
                    {"i-2", 1768123339039, std::nullopt, 0ms},
                    {"i-3", 1768123339040, 0.0, 0ms}};
   Sent.m_KnownHosts = {"10.0.0.3"};
@@ -383,7 +401,7 @@
   CHECK(Read.value().m_InFlight[0].m_Stretch->m_Ratio == 1.75);
   CHECK(Read.value().m_InFlight[0].m_LimitedSends == 70000);
   REQUIRE(Read.value().m_Limits.size() == 3);
-  CHECK(Read.value().m_Limits[0].m_PerSecond == 1.7);
+  CHECK(Read.value().m_Limits[0].m_PerSecond == 1.70001);
   CHECK(Read.value().m_Limits[0].m_Age == 20ms);
   CHECK_FALSE(Read.value().m_Limits[1].m_PerSecond);
   CHECK(Read.value().m_Limits[2].m_PerSecond == 0.0);
@@ -394,6 +412,16 @@
   CHECK(decodeRows(encodeRows(Rows)));
 }
 
+TEST_CASE("request limits that are no rates are left out") {
+  Datagram Sent;
+  for (double PerSecond : {1.5, -1.0, std::nan(""), HUGE_VAL})
+    Sent.m_Limits.push_back({"i-1", 1, PerSecond, 0ms});
+  auto Read = decodeDatagram(encodeDatagram(Sent));
+  REQUIRE(Read);
+  REQUIRE(Read.value().m_Limits.size() == 1);
+  CHECK(Read.value().m_Limits[0].m_PerSecond == 1.5);
+}
+
 TEST_CASE("decoding arbitrary bytes fails only with a protocol error") {
   std::mt19937 Random(3);
   Datagram Sent;
