Fault soak: servers that name request limits

In each round one server names a limit of 1 to 6 requests a second in its answers, and in half of the rounds in its checks, while the faults of the round are injected. From the contact time on, any four seconds may bring half as many again as the limit allows and five more. The limits have draws of their own, so the seeds that failed once play the same faults as before.

Restarts and pauses of VMs are not excused, which is stricter than what servers were promised.

--- a/libs/faultsoak/include/hyssopcross/faultsoak/Soak.h
+++ b/libs/faultsoak/include/hyssopcross/faultsoak/Soak.h
@@ -70,6 +70,10 @@
   void replaceServer();
   void addServer();
   void serve(Backend &At, const std::shared_ptr<http::Exchange> &Asked);
+  /// Lets another server name a request limit from now on.
+  void limitServer();
+  /// Holds an arrival against the limit that its server names.
+  void countLimited(Backend &At);
   void checkCalm();
 
   std::string hostIn(uint32_t Net, uint32_t Index) const;
@@ -81,6 +85,7 @@
   SystemClock m_Clock;
   gateway::PlatformCodec m_Speech;
   std::mt19937 m_Random;
+  std::mt19937 m_LimitRandom;
   test::FakeStore m_Store;
   http::Client m_Client;
   Promises m_Promises;
--- a/libs/faultsoak/src/Soak.cpp
+++ b/libs/faultsoak/src/Soak.cpp
@@ -1,6 +1,7 @@
 #include "hyssopcross/faultsoak/Soak.h"
 #include <csignal>
 #include <cstdio>
+#include <deque>
 
 namespace hyssopcross::faultsoak {
 
@@ -34,6 +35,15 @@
 constexpr Duration DrainBound = 2s;
 constexpr Duration OutBound = 5s;
 constexpr Duration ConfigurationBound = 2s;
+/// Requests that a server with a limit gets in this time from all VMs, from the
+/// contact time after it has named the limit: half as many again as the limit
+/// allows, and some more.
+constexpr Duration LimitWindow = 4s;
+constexpr double LimitFactor = 1.5;
+constexpr size_t LimitSlack = 5;
+/// Separates the draws of limits from those of faults, which seeds that failed
+/// depend on.
+constexpr uint32_t LimitSeed = 0x4c494d;
 /// From SIGTERM to the end of a process, and what a busy machine may add.
 constexpr auto StopGrace = std::chrono::seconds(2);
 constexpr Duration StopSlack = 1s;
@@ -65,6 +75,11 @@
   std::unique_ptr<test::FakeServer> m_Server;
   std::unique_ptr<Proxy> m_Link;
   TimePoint m_LeavingAt{};
+  /// Requests per second that it names in its answers; zero for none.
+  double m_Limit = 0;
+  TimePoint m_LimitedSince{};
+  /// Arrivals since it has named the limit, for up to one window.
+  std::deque<TimePoint> m_LimitedArrivals;
 };
 
 enum class Soak::Fault : uint32_t {
@@ -93,8 +108,8 @@
 
 Soak::Soak(SoakSettings Given)
     : m_Settings(std::move(Given)), m_Speech(adapter::makeDialect()),
-      m_Random(m_Settings.m_Seed), m_Store(m_Loop, m_Clock),
-      m_Client(m_Loop, m_Clock, {}) {}
+      m_Random(m_Settings.m_Seed), m_LimitRandom(m_Settings.m_Seed ^ LimitSeed),
+      m_Store(m_Loop, m_Clock), m_Client(m_Loop, m_Clock, {}) {}
 
 Soak::~Soak() = default;
 
@@ -220,6 +235,7 @@
   if (IsCalm && At.m_Server->m_DataCentre == m_OutDataCentre &&
       Now - m_OutSince > OutBound)
     m_Promises.violate("a data centre that is out got " + Id);
+  countLimited(At);
   uint32_t Odd = below(OddAnswerOneIn);
   if (Odd == 0)
     return Asked->answer(At.m_Server->notExecutedResponse(Asked->m_Request));
@@ -234,6 +250,45 @@
   });
 }
 
+void Soak::countLimited(Backend &At) {
+  if (At.m_Limit <= 0)
+    return;
+  TimePoint Now = m_Clock.now();
+  // Any window that begins within the contact time is excused.
+  if (Now - At.m_LimitedSince < ContactTime)
+    return;
+  At.m_LimitedArrivals.push_back(Now);
+  while (Now - At.m_LimitedArrivals.front() >= LimitWindow)
+    At.m_LimitedArrivals.pop_front();
+  auto Allowed = static_cast<size_t>(
+      LimitFactor * At.m_Limit *
+          std::chrono::duration<double>(LimitWindow).count() +
+      LimitSlack);
+  if (At.m_LimitedArrivals.size() <= Allowed)
+    return;
+  m_Promises.violate(
+      At.m_Server->m_Id + " named a limit of " + std::to_string(At.m_Limit) +
+      " a second and got " + std::to_string(At.m_LimitedArrivals.size()) +
+      " requests in 4 s, " + std::to_string(Allowed) + " allowed");
+  At.m_LimitedArrivals.clear();
+}
+
+void Soak::limitServer() {
+  for (const auto &Each : m_Backends) {
+    Each->m_Limit = 0;
+    Each->m_Server->m_LimitHeader.clear();
+    Each->m_LimitedArrivals.clear();
+  }
+  Backend &Of = *m_Backends[m_LimitRandom() % m_Backends.size()];
+  Of.m_Limit = std::uniform_real_distribution<double>(1, 6)(m_LimitRandom);
+  Of.m_LimitedSince = m_Clock.now();
+  Of.m_Server->m_LimitHeader = std::to_string(Of.m_Limit);
+  Of.m_Server->m_ChecksNameLimit = m_LimitRandom() % 2 == 0;
+  report("limit of " + std::to_string(Of.m_Limit) + " a second at " +
+             Of.m_Server->m_Id,
+         0s);
+}
+
 void Soak::send(Vm &To, const std::string &Target, bool RunsOnce, bool IsDirect,
                 const std::function<void(unsigned)> &Done) {
   std::string Id = "q-" + std::to_string(++m_Requests);
@@ -562,6 +617,7 @@
   for (uint32_t Round = 0; Round < m_Settings.m_Rounds; ++Round) {
     std::printf("event=round number=%u seed=%u\n", Round + 1,
                 m_Settings.m_Seed);
+    limitServer();
     TimePoint End = m_Clock.now() + FaultTime;
     while (m_Clock.now() < End) {
       injectOne(End - m_Clock.now());
