Forget that checks name a limit when it is lifted

Each check then lifted the limit and the next answer named it again, on all four VMs: the logs show request_limit and request_limit_lifted taking turns every 40 ms.

That checks name a limit now holds for the present limit only. The new test fails without the change in all three rows. The test of a limit that a check lifts let the response arrive before its request was sent, which can't happen and is now taken for older news; it states the times in order.

--- a/libs/dispatch/include/hyssopcross/dispatch/RequestLimit.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/RequestLimit.h
@@ -29,7 +29,8 @@
   /// When the server last named the limit or stopped naming one; zero before
   /// the first time.
   TimePoint m_SaidAt{};
-  /// Health checks name the limit too, not only answers to requests.
+  /// Health checks have named the present limit too, not only answers to
+  /// requests.
   bool m_IsNamedByChecks = false;
   /// End of the time that the counted requests use up at the limited rate.
   TimePoint m_UsedUntil{};
--- a/libs/dispatch/src/RequestLimit.cpp
+++ b/libs/dispatch/src/RequestLimit.cpp
@@ -35,11 +35,7 @@
   bool Lifts = Limit.m_PerSecond && Seen.m_IsComplete &&
                Seen.m_SentAt > Limit.m_SaidAt &&
                (!Seen.m_IsCheck || Limit.m_IsNamedByChecks);
-  if (!Lifts)
-    return false;
-  Limit.m_SaidAt = Now;
-  Limit.m_PerSecond.reset();
-  return true;
+  return Lifts && applyLimit(Limit, std::nullopt, Now);
 }
 
 bool applyLimit(RequestLimit &Limit, std::optional<double> PerSecond,
@@ -47,6 +43,7 @@
   if (SaidAt <= Limit.m_SaidAt)
     return false;
   Limit.m_SaidAt = SaidAt;
+  Limit.m_IsNamedByChecks = Limit.m_IsNamedByChecks && PerSecond;
   return std::exchange(Limit.m_PerSecond, PerSecond) != PerSecond;
 }
 
--- a/libs/dispatch/tests/RequestLimitTest.cpp
+++ b/libs/dispatch/tests/RequestLimitTest.cpp
@@ -1,6 +1,7 @@
 // Request rates that servers name for all VMs together.
 #include "hyssopcross/dispatch/RequestLimit.h"
 #include <doctest/doctest.h>
+#include <functional>
 
 using namespace hyssopcross;
 using namespace hyssopcross::dispatch;
@@ -48,12 +49,50 @@
 TEST_CASE("a check lifts a limit that checks have named") {
   RequestLimit Limit;
   CHECK(observeLimit(Limit, {2.0, true, true, Start - 10ms}, Start));
-  CHECK_FALSE(
-      observeLimit(Limit, {std::nullopt, true, false, Start + 10ms}, Start));
-  CHECK(observeLimit(Limit, {std::nullopt, true, true, Start + 10ms}, Start));
+  CHECK_FALSE(observeLimit(Limit, {std::nullopt, true, false, Start + 10ms},
+                           Start + 20ms));
+  CHECK(observeLimit(Limit, {std::nullopt, true, true, Start + 10ms},
+                     Start + 20ms));
   CHECK_FALSE(Limit.m_PerSecond);
 }
 
+// Guards against checks and answers that take turns in lifting and naming a
+// limit: checks had named an earlier one (fault-soak seed 9114).
+TEST_CASE("a check lifts no later limit that only answers have named") {
+  const LimitObservation NamedByAnswer{3.0, false, true, Start};
+  const LimitObservation Check{std::nullopt, true, true, Start + 90ms};
+  struct Case {
+    const char *m_Name;
+    std::function<void(RequestLimit &)> m_Lift;
+  };
+  const Case Cases[] = {
+      {"lifted by a check",
+       [](RequestLimit &Limit) {
+         observeLimit(Limit, {std::nullopt, true, true, Start + 10ms},
+                      Start + 20ms);
+       }},
+      {"lifted by an answer",
+       [](RequestLimit &Limit) {
+         observeLimit(Limit, {std::nullopt, false, true, Start + 10ms},
+                      Start + 20ms);
+       }},
+      {"lifted by news of another VM",
+       [](RequestLimit &Limit) {
+         applyLimit(Limit, std::nullopt, Start + 20ms);
+       }},
+  };
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Name);
+    RequestLimit Limit;
+    observeLimit(Limit, {2.0, true, true, Start - 10ms}, Start);
+    Each.m_Lift(Limit);
+    REQUIRE_FALSE(Limit.m_PerSecond);
+    observeLimit(Limit, NamedByAnswer, Start + 50ms);
+    CHECK_FALSE(observeLimit(Limit, Check, Start + 100ms));
+    CHECK(Limit.m_PerSecond == 3.0);
+  }
+}
+
 TEST_CASE("a server that names no limit has none") {
   RequestLimit Limit;
   CHECK_FALSE(
