--- a/libs/dispatch/tests/LimitedFleetTest.cpp
+++ b/libs/dispatch/tests/LimitedFleetTest.cpp
@@ -89,9 +89,9 @@
             tell(I, Target);
       deliver();
       complete();
-      for (double Left = m_Load.m_Rate * 0.001; Left > 0; Left -= 1)
-        if (draw() < Left)
-          arrive();
+      double StepSeconds = std::chrono::duration<double>(Step).count();
+      if (draw() < m_Load.m_Rate * StepSeconds)
+        arrive();
       for (size_t I = 0; I < m_Vms.size(); ++I)
         reconsider(I);
     }
