Decode and log the era of the store's versions

A VM could not tell that the store answers from another history than before. The era is logged when it changes, and once when it is missing or no number. No decision uses it.

--- a/libs/gateway/include/hyssopcross/gateway/PlatformCodec.h
+++ b/libs/gateway/include/hyssopcross/gateway/PlatformCodec.h
@@ -119,6 +119,10 @@
                                           boost::outcome_v2::policy::terminate>(
       const http::Response &)>
       m_DecodeRows;
+  /// The era of the store's versions; absent if the response does not state it.
+  /// Fails with Protocol if the value is not a valid number.
+  std::function<Result<std::optional<uint64_t>>(const http::Response &)>
+      m_DecodeEra;
 };
 
 } // namespace hyssopcross::gateway
--- a/libs/gateway/src/DiscoveryClient.cpp
+++ b/libs/gateway/src/DiscoveryClient.cpp
@@ -202,6 +202,7 @@
                                const http::ExchangeResult &Result) {
   if (Result.m_End != http::ExchangeEnd::Answered)
     return failed(Of, StoreFailure::Unavailable);
+  logEra(Result.m_Answer);
   auto Batch = m_State.m_PlatformCodec.m_DecodeRows(Result.m_Answer);
   if (!Batch)
     return failed(Of, Batch.error());
@@ -237,6 +238,25 @@
   next(Of);
 }
 
+void DiscoveryClient::logEra(const http::Response &Answer) {
+  auto Era = m_State.m_PlatformCodec.m_DecodeEra(Answer);
+  bool IsInvalid = !Era || !Era.value();
+  if (IsInvalid != std::exchange(m_IsEraInvalid, IsInvalid) && IsInvalid) {
+    m_State.m_Metrics.count("store_era_invalid");
+    logEvent(LogLevel::Warning, "store_era_invalid",
+             {{"error", Era ? "no era is stated" : Era.error().m_Message},
+              {"last_era", m_LoggedEra.value_or(0)},
+              {"outcome", "ignored"}});
+  }
+  if (IsInvalid || m_LoggedEra == *Era.value())
+    return;
+  logEvent(LogLevel::Info, "store_era",
+           {{"era", *Era.value()},
+            {"last_era", m_LoggedEra.value_or(0)},
+            {"status", Answer.result_int()}});
+  m_LoggedEra = *Era.value();
+}
+
 void DiscoveryClient::failed(Follower &Of, StoreFailure Why) {
   TimePoint Now = m_State.now();
   m_State.m_Metrics.count(std::string("store_") + failureName(Why));
--- a/libs/gateway/src/DiscoveryClient.h
+++ b/libs/gateway/src/DiscoveryClient.h
@@ -85,6 +85,9 @@
   void call(Follower &Of, const Address &Source, http::Request Asked,
             Duration Limit, AnswerHandler Handler);
   void answered(Follower &Of, const http::ExchangeResult &Result);
+  /// Logs the era of a response of the store if it differs from the last one,
+  /// and an era that cannot be decoded.
+  void logEra(const http::Response &Answer);
   void failed(Follower &Of, StoreFailure Why);
   void restored(Follower &Of);
   bool askPeer(Follower &Of);
@@ -128,6 +131,10 @@
   /// Time since which no follower has been heard; zero if one is heard.
   TimePoint m_NoFollowerSince{};
   bool m_StoreReachable = true;
+  /// Era of the last response of the store that stated one.
+  std::optional<uint64_t> m_LoggedEra;
+  /// The last response of the store stated no valid era.
+  bool m_IsEraInvalid = false;
   TimePoint m_UnreachableAt{};
   /// When the store recovered from an outage.
   TimePoint m_RestoredAt{};
