Follow the store into its next era after it returned from an older copy

Callers were served as an older configuration allows, although a newer one had been acknowledged, since a version was taken for a number that only grows. A store that returns from an older copy gives versions out again: VMs dropped whatever had a lower version, or skipped what was written under versions that they had seen before.

Positions in the store's history are now ordered by era, then version, in one type, wherever they are compared, announced, asked for or logged. A response of a later era makes a VM read the whole table; one of an earlier era, by a late response or another VM, has no effect. A missing or invalid era is taken as the one that is known.

The copy that the store returned from is not taken at its word: for 2.3 s, in which what was lost is written again, a row that would undo what was in force is deferred. A server that left is not used because the copy lists it, one that registered after the copy stays, a data centre stays out or in, and the configuration with the highest version stays in force. Followers list themselves again.

--- a/libs/fleet/fleet.thrift
+++ b/libs/fleet/fleet.thrift
@@ -36,6 +36,8 @@
   4: list<Row> rows,
   // Whether these are all rows of the table.
   5: bool snapshot,
+  // Era of all versions here; absent if it is not known.
+  6: optional i64 era,
 }
 
 // Progress of a VM that follows the store itself.
@@ -45,6 +47,9 @@
   2: list<i64> versions,
   // Time since the store last responded to the sender.
   3: optional i32 confirmedAgeMillis,
+  // Era of each of these versions, in the same order; a missing one is not
+  // known.
+  4: optional list<i64> eras,
 }
 
 // Result of a health check of a backend server.
--- a/libs/fleet/include/hyssopcross/fleet/Datagram.h
+++ b/libs/fleet/include/hyssopcross/fleet/Datagram.h
@@ -60,16 +60,17 @@
 /// Rows of a followed table that one VM forwards to others.
 struct TableRows {
   uint32_t m_Table = 0;
-  /// The batch is complete for a copy that holds everything up to this version.
-  uint64_t m_After = 0;
+  /// The batch is complete for a copy that holds everything up to this
+  /// revision, which is of the same era as the batch.
+  discovery::Revision m_After;
   discovery::RowBatch m_Batch;
 };
 
 /// Progress of a sender that follows the store itself.
 struct Following {
   bool m_StoreAnswers = false;
-  /// Version of the newest change known in each table.
-  std::vector<uint64_t> m_Versions;
+  /// Revision of the newest change known in each table.
+  std::vector<discovery::Revision> m_LastChanges;
   /// Time since the store last responded to the sender.
   Duration m_ConfirmedAge{};
 };
--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -146,8 +146,9 @@
 wire::Rows toWire(const TableRows &From) {
   wire::Rows Output;
   Output.table = static_cast<int8_t>(From.m_Table);
-  Output.after = static_cast<int64_t>(From.m_After);
-  Output.at = static_cast<int64_t>(From.m_Batch.m_UpToVersion);
+  Output.after = static_cast<int64_t>(From.m_After.m_Version);
+  Output.at = static_cast<int64_t>(From.m_Batch.m_UpTo.m_Version);
+  Output.__set_era(static_cast<int64_t>(From.m_Batch.m_UpTo.m_Era));
   Output.snapshot = From.m_Batch.m_IsSnapshot;
   for (const discovery::Row &Each : From.m_Batch.m_Rows) {
     wire::Row Row;
@@ -163,8 +164,9 @@
 TableRows fromWire(wire::Rows &From) {
   TableRows Output;
   Output.m_Table = static_cast<uint8_t>(std::max<int8_t>(0, From.table));
-  Output.m_After = static_cast<uint64_t>(From.after);
-  Output.m_Batch.m_UpToVersion = static_cast<uint64_t>(From.at);
+  auto Era = static_cast<uint64_t>(From.__isset.era ? From.era : 0);
+  Output.m_After = {Era, static_cast<uint64_t>(From.after)};
+  Output.m_Batch.m_UpTo = {Era, static_cast<uint64_t>(From.at)};
   Output.m_Batch.m_IsSnapshot = From.snapshot;
   for (wire::Row &Each : From.rows)
     Output.m_Batch.m_Rows.push_back({std::move(Each.key), std::move(Each.value),
@@ -271,8 +273,11 @@
   if (Message.m_Following) {
     wire::Following State;
     State.storeAnswers = Message.m_Following->m_StoreAnswers;
-    for (uint64_t Each : Message.m_Following->m_Versions)
-      State.versions.push_back(static_cast<int64_t>(Each));
+    State.__isset.eras = true;
+    for (const discovery::Revision &Each : Message.m_Following->m_LastChanges) {
+      State.versions.push_back(static_cast<int64_t>(Each.m_Version));
+      State.eras.push_back(static_cast<int64_t>(Each.m_Era));
+    }
     State.__set_confirmedAgeMillis(
         toMillis32(Message.m_Following->m_ConfirmedAge));
     Output.__set_following(State);
@@ -331,8 +336,11 @@
   if (Read.__isset.following) {
     Output.m_Following.emplace();
     Output.m_Following->m_StoreAnswers = Read.following.storeAnswers;
-    for (int64_t Each : Read.following.versions)
-      Output.m_Following->m_Versions.push_back(static_cast<uint64_t>(Each));
+    const std::vector<int64_t> &Eras = Read.following.eras;
+    for (size_t I = 0; I < Read.following.versions.size(); ++I)
+      Output.m_Following->m_LastChanges.push_back(
+          {I < Eras.size() ? static_cast<uint64_t>(Eras[I]) : 0,
+           static_cast<uint64_t>(Read.following.versions[I])});
     Output.m_Following->m_ConfirmedAge = std::chrono::milliseconds(
         std::max(0, Read.following.confirmedAgeMillis));
   }
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -375,12 +375,12 @@
                    {"i-2", 1768123339039, std::nullopt, 0ms},
                    {"i-3", 1768123339040, 0.0, 0ms}};
   Sent.m_KnownHosts = {"10.0.0.3"};
-  Sent.m_Following = Following{true, {5, 7}};
+  Sent.m_Following = Following{true, {{2, 5}, {2, 7}}};
   Sent.m_Leaving = {{"i-4", 1768123339041}};
   TableRows Rows;
   Rows.m_Table = 1;
-  Rows.m_After = 5;
-  Rows.m_Batch.m_UpToVersion = 7;
+  Rows.m_After = {2, 5};
+  Rows.m_Batch.m_UpTo = {2, 7};
   Rows.m_Batch.m_Rows = {{"key", std::string("\0\xff", 2), 6, false},
                          {"gone", "", 7, true}};
   Sent.m_Rows = {Rows};
--- a/libs/gateway/include/hyssopcross/gateway/PlatformCodec.h
+++ b/libs/gateway/include/hyssopcross/gateway/PlatformCodec.h
@@ -65,6 +65,8 @@
   Conflict,
   /// The response cannot be decoded.
   Malformed,
+  /// The response belongs to an earlier era of the store than the local copy.
+  EarlierEra,
 };
 
 /// Translates between the platform's messages and the types of this project.
@@ -115,6 +117,7 @@
       m_EncodeWatch;
   std::function<http::Request(std::string_view From)> m_EncodeListVms;
   std::function<http::Request(const std::string &Host)> m_EncodeRegisterVm;
+  /// The era of the decoded rows is left zero; m_DecodeEra returns it.
   std::function<boost::outcome_v2::result<discovery::RowBatch, StoreFailure,
                                           boost::outcome_v2::policy::terminate>(
       const http::Response &)>
--- a/libs/gateway/src/DiscoveryClient.cpp
+++ b/libs/gateway/src/DiscoveryClient.cpp
@@ -51,10 +51,6 @@
 /// it.
 constexpr Duration ShortOutage = std::chrono::milliseconds(700);
 
-const char *tableName(FollowedTable Which) {
-  return Which == FollowedTable::Operator ? "operator" : "servers";
-}
-
 const char *failureName(StoreFailure Why) {
   switch (Why) {
   case StoreFailure::Unavailable:
@@ -65,6 +61,8 @@
     return "conflict";
   case StoreFailure::Malformed:
     return "malformed";
+  case StoreFailure::EarlierEra:
+    return "earlier_era";
   }
   return "unknown";
 }
@@ -74,6 +72,10 @@
 
 } // namespace
 
+const char *tableName(FollowedTable Which) {
+  return Which == FollowedTable::Operator ? "operator" : "servers";
+}
+
 DiscoveryClient::DiscoveryClient(NodeState &State, FleetMessenger &Fleet,
                                  std::function<void()> ConfigurationChanged)
     : m_State(State), m_Fleet(Fleet),
@@ -164,19 +166,22 @@
       From = Of.m_Pages.m_Rows.back().m_Key;
     Asked = m_State.m_PlatformCodec.m_EncodeReadAll(Of.m_Which, From);
   } else {
-    Of.m_After = Of.m_Copy.m_UpToVersion;
-    Of.m_ChangedBefore = Of.m_Copy.m_LastChangeVersion;
-    Asked = m_State.m_PlatformCodec.m_EncodeWatch(Of.m_Which, Of.m_After, Wait);
+    Of.m_After = Of.m_Copy.m_UpTo;
+    Of.m_ChangedBefore = Of.m_Copy.m_LastChange;
+    Asked = m_State.m_PlatformCodec.m_EncodeWatch(Of.m_Which,
+                                                  Of.m_After.m_Version, Wait);
   }
   m_State.m_Metrics.count(Of.m_MustRead ? "store_read" : "store_watch");
   Of.m_IsWatch = Wait > Duration(0);
   logEvent(LogLevel::Debug, "store_call",
            {{"table", tableName(Of.m_Which)},
             {"whole", Of.m_MustRead},
-            {"after", Of.m_Copy.m_UpToVersion},
+            {"era", Of.m_Copy.m_UpTo.m_Era},
+            {"after", Of.m_Copy.m_UpTo.m_Version},
             {"wait_ms", toMillis(Wait)},
             {"follower", m_IsFollower},
-            {"announced", Of.m_Announced}});
+            {"announced_era", Of.m_Announced.m_Era},
+            {"announced", Of.m_Announced.m_Version}});
   call(Of, m_State.m_Settings.m_Store, std::move(Asked),
        Of.m_IsWatch ? Wait + WatchSlack : StoreTimeout,
        &DiscoveryClient::answered);
@@ -202,43 +207,60 @@
                                const http::ExchangeResult &Result) {
   if (Result.m_End != http::ExchangeEnd::Answered)
     return failed(Of, StoreFailure::Unavailable);
-  logEra(Result.m_Answer);
+  std::optional<uint64_t> Era = readEra(Result.m_Answer);
   auto Batch = m_State.m_PlatformCodec.m_DecodeRows(Result.m_Answer);
   if (!Batch)
     return failed(Of, Batch.error());
+  discovery::RowBatch &Received = Batch.value();
+  uint64_t KnownEra = Of.m_Copy.m_UpTo.m_Era;
+  Received.m_UpTo.m_Era = Era.value_or(KnownEra);
+  if (Received.m_UpTo.m_Era < KnownEra)
+    return failed(Of, StoreFailure::EarlierEra);
   discovery::onCallSucceeded(Of.m_Pace);
   m_ConfirmedAt = m_State.now();
-  if (!Of.m_MustRead) {
-    restored(Of);
-    applyStoreBatch(Of, Batch.value());
-    if (Batch.value().m_Rows.empty() && !Of.isBehind())
-      return next(Of);
-    // Changes come in groups; after a short pause one call can return several.
-    return pause(Of, ChangeBatchPause);
+  if (Of.m_MustRead) {
+    pageRead(Of, std::move(Received));
+    return;
+  }
+  // The versions of the copy mean nothing in another era.
+  if (Received.m_UpTo.m_Era > KnownEra) {
+    Of.m_MustRead = true;
+    return next(Of);
   }
+  restored(Of);
+  applyStoreBatch(Of, Received);
+  if (Received.m_Rows.empty() && !Of.isBehind())
+    return next(Of);
+  // Changes come in groups; after a short pause one call can return several.
+  pause(Of, ChangeBatchPause);
+}
+
+void DiscoveryClient::pageRead(Follower &Of, discovery::RowBatch Page) {
   discovery::RowBatch &Pages = Of.m_Pages;
-  Pages.m_UpToVersion =
-      Pages.m_Rows.empty()
-          ? Batch.value().m_UpToVersion
-          : std::min(Pages.m_UpToVersion, Batch.value().m_UpToVersion);
-  for (discovery::Row &Each : Batch.value().m_Rows)
+  if (!Pages.m_Rows.empty() && Pages.m_UpTo.m_Era != Page.m_UpTo.m_Era) {
+    Pages = {};
+    return next(Of);
+  }
+  Pages.m_UpTo =
+      Pages.m_Rows.empty() ? Page.m_UpTo : std::min(Pages.m_UpTo, Page.m_UpTo);
+  for (discovery::Row &Each : Page.m_Rows)
     Pages.m_Rows.push_back(std::move(Each));
-  if (!Batch.value().m_HasMore) {
+  if (!Page.m_HasMore) {
     discovery::RowBatch Whole = std::move(Pages);
     Pages = {};
     Whole.m_IsSnapshot = true;
     // The snapshot is older than the local copy, so the source is behind.
-    if (Whole.m_UpToVersion < Of.m_Copy.m_UpToVersion)
+    if (Whole.m_UpTo < Of.m_Copy.m_UpTo)
       return failed(Of, StoreFailure::Unavailable);
     Of.m_MustRead = false;
-    Of.m_After = Of.m_Copy.m_UpToVersion;
+    Of.m_After = Of.m_Copy.m_UpTo;
     restored(Of);
     applyStoreBatch(Of, Whole);
   }
   next(Of);
 }
 
-void DiscoveryClient::logEra(const http::Response &Answer) {
+std::optional<uint64_t> DiscoveryClient::readEra(const http::Response &Answer) {
   auto Era = m_State.m_PlatformCodec.m_DecodeEra(Answer);
   bool IsInvalid = !Era || !Era.value();
   if (IsInvalid != std::exchange(m_IsEraInvalid, IsInvalid) && IsInvalid) {
@@ -248,13 +270,16 @@
               {"last_era", m_LoggedEra.value_or(0)},
               {"outcome", "ignored"}});
   }
-  if (IsInvalid || m_LoggedEra == *Era.value())
-    return;
+  if (IsInvalid)
+    return std::nullopt;
+  if (m_LoggedEra == Era.value())
+    return Era.value();
   logEvent(LogLevel::Info, "store_era",
            {{"era", *Era.value()},
             {"last_era", m_LoggedEra.value_or(0)},
             {"status", Answer.result_int()}});
-  m_LoggedEra = *Era.value();
+  m_LoggedEra = Era.value();
+  return Era.value();
 }
 
 void DiscoveryClient::failed(Follower &Of, StoreFailure Why) {
@@ -263,7 +288,9 @@
   Of.m_Pages = {};
   if (Why == StoreFailure::HistoryLost) {
     logEvent(LogLevel::Info, "store_history_lost",
-             {{"table", tableName(Of.m_Which)}, {"after", Of.m_After}});
+             {{"table", tableName(Of.m_Which)},
+              {"era", Of.m_After.m_Era},
+              {"after", Of.m_After.m_Version}});
     Of.m_MustRead = true;
     discovery::onCallSucceeded(Of.m_Pace);
     return next(Of);
@@ -281,7 +308,8 @@
     logEvent(LogLevel::Warning, "store_lost",
              {{"table", tableName(Of.m_Which)},
               {"why", failureName(Why)},
-              {"known_version", Of.m_Copy.m_UpToVersion}});
+              {"known_era", Of.m_Copy.m_UpTo.m_Era},
+              {"known_version", Of.m_Copy.m_UpTo.m_Version}});
     updateStoreReachability();
     if (m_IsFollower)
       m_Fleet.announce();
@@ -335,11 +363,13 @@
     Asked = &Announcer->second;
   if (!Asked)
     return false;
-  Of.m_After = Of.m_Copy.m_IsComplete ? Of.m_Copy.m_UpToVersion : 0;
+  Of.m_After =
+      Of.m_Copy.m_IsComplete ? Of.m_Copy.m_UpTo : discovery::Revision();
   http::Request Question(boost::beast::http::verb::get,
                          std::string(RowsPath) + "?table=" +
                              std::to_string(static_cast<uint32_t>(Of.m_Which)) +
-                             "&after=" + std::to_string(Of.m_After),
+                             "&era=" + std::to_string(Of.m_After.m_Era) +
+                             "&after=" + std::to_string(Of.m_After.m_Version),
                          11);
   Question.set(boost::beast::http::field::host, Asked->m_Info.m_Host);
   m_State.m_Metrics.count("peer_rows_asked");
@@ -376,7 +406,8 @@
     logEvent(LogLevel::Info, "store_regained",
              {{"table", tableName(Of.m_Which)},
               {"lost_ms", toMillis(m_State.now() - Of.m_StoreFailedAt)},
-              {"known_version", Of.m_Copy.m_UpToVersion}});
+              {"known_era", Of.m_Copy.m_UpTo.m_Era},
+              {"known_version", Of.m_Copy.m_UpTo.m_Version}});
     for (Follower &Other : m_Followers)
       if (&Other != &Of && Other.m_StoreFailed && !Other.m_Call) {
         Other.m_Timer->cancel();
@@ -398,10 +429,14 @@
                  fleet::hasFreshFollower(m_State.m_Fleet,
                                          m_State.m_Settings.m_FleetPolicy, Now);
   const discovery::Table &Operator = m_Followers[0].m_Copy;
+  // A row that the store has lost is missing until it is written again.
+  bool MayLackRows = Now < m_DeferredUntil ||
+                     m_Followers[0].m_Announced.m_Era > Operator.m_UpTo.m_Era;
   m_State.m_SeesOperator =
-      InSight ||
-      (Operator.m_IsComplete &&
-       Now - Operator.m_ConfirmedAt < m_State.m_Settings.m_ConfigurationBound);
+      !MayLackRows &&
+      (InSight ||
+       (Operator.m_IsComplete && Now - Operator.m_ConfirmedAt <
+                                     m_State.m_Settings.m_ConfigurationBound));
   if (InSight == m_StoreReachable)
     return;
   m_StoreReachable = InSight;
@@ -455,8 +490,10 @@
     if (IsBehind && Each.m_Call && Each.m_IsWatch) {
       logEvent(LogLevel::Warning, "watch_overtaken",
                {{"table", tableName(Each.m_Which)},
-                {"known_version", Each.m_Copy.m_UpToVersion},
-                {"announced_version", Each.m_Announced}});
+                {"known_era", Each.m_Copy.m_UpTo.m_Era},
+                {"known_version", Each.m_Copy.m_UpTo.m_Version},
+                {"announced_era", Each.m_Announced.m_Era},
+                {"announced_version", Each.m_Announced.m_Version}});
       dropCall(Each);
     }
     // The VM that announced the change has it and is cheaper to ask than the
@@ -475,19 +512,18 @@
   Own.m_StoreAnswers = storeAnswers();
   Own.m_ConfirmedAge = m_State.now() - m_ConfirmedAt;
   for (const Follower &Each : m_Followers)
-    Own.m_Versions.push_back(Each.m_Copy.m_LastChangeVersion);
+    Own.m_LastChanges.push_back(Each.m_Copy.m_LastChange);
   return Own;
 }
 
 void DiscoveryClient::applyPeerFollowing(const fleet::Following &News,
                                          const std::string &From) {
-  for (size_t I = 0; I < m_Followers.size() && I < News.m_Versions.size();
+  for (size_t I = 0; I < m_Followers.size() && I < News.m_LastChanges.size();
        ++I) {
     Follower &Own = m_Followers[I];
-    if (News.m_Versions[I] <=
-        std::max(Own.m_Announced, Own.m_Copy.m_UpToVersion))
+    if (News.m_LastChanges[I] <= std::max(Own.m_Announced, Own.m_Copy.m_UpTo))
       continue;
-    Own.m_Announced = News.m_Versions[I];
+    Own.m_Announced = News.m_LastChanges[I];
     Own.m_AnnouncedAt = m_State.now();
     Own.m_AnnouncedBy = From;
     Own.m_AskedPeer = false;
@@ -499,37 +535,42 @@
   if (News.m_Table >= m_Followers.size())
     return;
   Follower &Own = m_Followers[News.m_Table];
-  if (!Own.m_Copy.m_IsComplete || News.m_After > Own.m_Copy.m_UpToVersion)
+  bool HasGap = !News.m_Batch.m_IsSnapshot && News.m_After > Own.m_Copy.m_UpTo;
+  if (!Own.m_Copy.m_IsComplete || HasGap)
     return;
   Own.m_After = News.m_After;
   apply(Own, News.m_Batch);
 }
 
 Result<fleet::TableRows> DiscoveryClient::rowsAfter(uint32_t Table,
-                                                    uint64_t After) {
+                                                    discovery::Revision After) {
   if (Table >= m_Followers.size() || !m_Followers[Table].m_Copy.m_IsComplete)
     return fail(ErrorCode::Unavailable, "the table is not known here");
-  bool IsLong =
-      After == 0 && m_Followers[Table].m_Copy.m_Rows.size() >= LongTableRows;
+  const discovery::Table &Copy = m_Followers[Table].m_Copy;
+  bool IsWhole = After.m_Version == 0 || After.m_Era != Copy.m_UpTo.m_Era;
+  bool IsLong = IsWhole && Copy.m_Rows.size() >= LongTableRows;
   if (IsLong && !discovery::tryAcquireSnapshot(m_HandOvers, m_State.now()))
     return fail(ErrorCode::Unavailable, "others are being told");
-  return fleet::TableRows{
-      Table, After, discovery::changesAfter(m_Followers[Table].m_Copy, After)};
+  return fleet::TableRows{Table, After, discovery::changesAfter(Copy, After)};
 }
 
 void DiscoveryClient::applyStoreBatch(Follower &Of,
                                       const discovery::RowBatch &Batch) {
-  uint64_t Before = Of.m_Copy.m_LastChangeVersion;
+  discovery::Revision Before = Of.m_Copy.m_UpTo;
+  discovery::Revision ChangedBefore = Of.m_Copy.m_LastChange;
   bool WasComplete = Of.m_Copy.m_IsComplete;
-  std::vector<discovery::Row> Changed = apply(Of, Batch);
+  std::vector<discovery::Change> Changes = apply(Of, Batch);
   if (!m_IsFollower || !WasComplete)
     return;
   // Of a snapshot, forward only the rows that are new to this VM: the others
-  // know the rest.
+  // know the rest, unless it begins an era.
   discovery::ForwardedRows News =
       discovery::rowsToForward(Batch, Of.m_ChangedBefore);
-  if (Batch.m_IsSnapshot)
-    News = {Before, {std::move(Changed), Batch.m_UpToVersion}};
+  if (Batch.m_IsSnapshot && Batch.m_UpTo.m_Era == Before.m_Era) {
+    News = {ChangedBefore, {{}, Batch.m_UpTo}};
+    for (discovery::Change &Each : Changes)
+      News.m_Batch.m_Rows.push_back(std::move(Each.m_Row));
+  }
   if (!News.m_Batch.m_Rows.empty())
     m_Fleet.sendTableRows({static_cast<uint32_t>(Of.m_Which), News.m_After,
                            std::move(News.m_Batch)});
@@ -537,24 +578,32 @@
     m_Fleet.sendStoreConfirmation();
 }
 
-std::vector<discovery::Row>
+std::vector<discovery::Change>
 DiscoveryClient::apply(Follower &Of, const discovery::RowBatch &Batch) {
-  std::vector<discovery::Row> Changed =
+  discovery::Revision Former = Of.m_Copy.m_UpTo;
+  bool WasComplete = Of.m_Copy.m_IsComplete;
+  std::vector<discovery::Change> Changes =
       discovery::applyBatch(Of.m_Copy, Batch, Of.m_After, m_State.now());
+  if (WasComplete && Of.m_Copy.m_UpTo.m_Era != Former.m_Era)
+    eraBegan(Of, Former);
   updateStoreReachability();
-  for (const discovery::Row &Each : Changed)
+  for (const discovery::Change &Each : Changes) {
+    Of.m_Deferred.erase(Each.m_Row.m_Key);
     if (Of.m_Which == FollowedTable::Operator)
-      applyOperatorRow(Each);
+      applyOperatorChange(Each);
     else
-      applyServerRow(Each);
-  if (!Changed.empty() && Of.m_Which == FollowedTable::Servers)
+      applyServerChange(Each);
+  }
+  if (!Changes.empty() && Of.m_Which == FollowedTable::Servers)
     ++m_State.m_ServersVersion;
-  return Changed;
+  return Changes;
 }
 
 void DiscoveryClient::sweep() {
   updateRole();
   updateStoreReachability();
+  if (m_State.now() >= m_DeferredUntil)
+    applyDeferred();
   dispatch::expireNotices(m_State.m_Servers, m_State.m_Settings.m_Dispatch,
                           m_State.now());
   std::vector<std::string> Over;
--- a/libs/gateway/src/DiscoveryClient.h
+++ b/libs/gateway/src/DiscoveryClient.h
@@ -11,6 +11,9 @@
 
 namespace hyssopcross::gateway {
 
+/// The name of a table in log lines.
+const char *tableName(FollowedTable Which);
+
 /// Maintains the node's view of configuration, servers and data centres from
 /// two tables of the store. A few VMs follow the tables and forward changes;
 /// the others call the store only for changes that they have missed, or while
@@ -38,10 +41,13 @@
   /// This VM's progress in following the store; absent if it does not follow
   /// it.
   std::optional<fleet::Following> ownFollowing() const;
-  /// Returns the changes after version After, or the whole table if After is 0.
+  /// Returns the changes after the revision After, or the whole table if its
+  /// version is 0 or it is of another era.
   /// Fails with Unavailable before this VM has read the table, or while it is
   /// sending the whole table to as many VMs as it can serve.
-  Result<fleet::TableRows> rowsAfter(uint32_t Table, uint64_t After);
+  Result<fleet::TableRows> rowsAfter(uint32_t Table, discovery::Revision After);
+  /// The latest era of the store that this VM follows; 0 if it is not known.
+  uint64_t era() const;
 
 private:
   struct Follower {
@@ -53,13 +59,13 @@
     std::shared_ptr<http::TimedExchange> m_Call;
     /// Timer of the pause between two calls.
     std::unique_ptr<boost::asio::steady_timer> m_Timer;
-    uint64_t m_After = 0;
-    /// Version of the newest change known when the call started.
-    uint64_t m_ChangedBefore = 0;
-    /// Version of the newest change that another VM has announced.
-    uint64_t m_Announced = 0;
+    discovery::Revision m_After;
+    /// Revision of the newest change known when the call started.
+    discovery::Revision m_ChangedBefore;
+    /// Revision of the newest change that another VM has announced.
+    discovery::Revision m_Announced;
     TimePoint m_AnnouncedAt{};
-    /// Host of the VM that announced this version first.
+    /// Host of the VM that announced this revision first.
     std::string m_AnnouncedBy;
     /// The call in progress is a watch that waits for changes.
     bool m_IsWatch = false;
@@ -73,8 +79,12 @@
     /// Another VM has already been asked for the announced change.
     bool m_AskedPeer = false;
 
+    /// Changes by the beginning of an era that are applied only if the store
+    /// still says so when what it has lost has been written again. By key.
+    std::map<std::string, discovery::Row, std::less<>> m_Deferred;
+
     /// Whether another VM has announced a change that this copy lacks.
-    bool isBehind() const { return m_Announced > m_Copy.m_UpToVersion; }
+    bool isBehind() const { return m_Announced > m_Copy.m_UpTo; }
   };
   using AnswerHandler = void (DiscoveryClient::*)(Follower &,
                                                   const http::ExchangeResult &);
@@ -85,9 +95,17 @@
   void call(Follower &Of, const Address &Source, http::Request Asked,
             Duration Limit, AnswerHandler Handler);
   void answered(Follower &Of, const http::ExchangeResult &Result);
-  /// Logs the era of a response of the store if it differs from the last one,
-  /// and an era that cannot be decoded.
-  void logEra(const http::Response &Answer);
+  /// Returns the era that a response of the store states, if it is valid. Logs
+  /// an era that differs from the last one, and one that is invalid.
+  std::optional<uint64_t> readEra(const http::Response &Answer);
+  /// Adds a page of a snapshot; applies the snapshot once it is whole.
+  void pageRead(Follower &Of, discovery::RowBatch Page);
+  /// Begins the time in which what the store has lost is written again.
+  void eraBegan(Follower &Of, discovery::Revision Former);
+  /// Ends that time: applies the deferred changes.
+  void applyDeferred();
+  /// Defers a change that may be outdated.
+  void defer(Follower &Of, const discovery::Row &Changed);
   void failed(Follower &Of, StoreFailure Why);
   void restored(Follower &Of);
   bool askPeer(Follower &Of);
@@ -106,10 +124,15 @@
   /// Applies a batch from the store and forwards its changes.
   void applyStoreBatch(Follower &Of, const discovery::RowBatch &Batch);
   /// Applies a batch; returns the rows that were new to this VM.
-  std::vector<discovery::Row> apply(Follower &Of,
-                                    const discovery::RowBatch &Batch);
+  std::vector<discovery::Change> apply(Follower &Of,
+                                       const discovery::RowBatch &Batch);
+  void applyOperatorChange(const discovery::Change &Changed);
   void applyOperatorRow(const discovery::Row &Changed);
+  void applyServerChange(const discovery::Change &Changed);
   void applyServerRow(const discovery::Row &Changed);
+  /// Whether the row of a server contradicts what this VM knows of the same
+  /// start of the server, or of a later one.
+  bool isServerRowOlder(const discovery::Row &Changed) const;
   void removeServer(const std::string &Id, const char *Why);
   void discoverVms();
   void scheduleVmDiscovery();
@@ -138,6 +161,8 @@
   TimePoint m_UnreachableAt{};
   /// When the store recovered from an outage.
   TimePoint m_RestoredAt{};
+  /// Until when changes that may be outdated are deferred.
+  TimePoint m_DeferredUntil{};
   boost::asio::steady_timer m_RegisterTimer;
   discovery::CallBackoff m_RegisterPace;
   bool m_IsRegistered = false;
--- a/libs/gateway/src/DiscoveryRows.cpp
+++ b/libs/gateway/src/DiscoveryRows.cpp
@@ -7,11 +7,114 @@
 namespace {
 
 /// Time after the store recovers within which servers whose rows expired during
-/// the outage register again.
+/// the outage register again, and what the store has lost is written again.
 constexpr Duration RelistTime = std::chrono::milliseconds(2300);
 
 } // namespace
 
+uint64_t DiscoveryClient::era() const {
+  uint64_t Latest = 0;
+  for (const Follower &Each : m_Followers)
+    Latest = std::max(Latest, Each.m_Copy.m_UpTo.m_Era);
+  return Latest;
+}
+
+void DiscoveryClient::eraBegan(Follower &Of, discovery::Revision Former) {
+  m_DeferredUntil = m_State.now() + RelistTime;
+  // The store has lost the row of this VM, unless the copy already had it.
+  m_IsRegistered = false;
+  m_State.m_Metrics.count("store_era_began");
+  logEvent(LogLevel::Warning, "store_era_began",
+           {{"table", tableName(Of.m_Which)},
+            {"era", Of.m_Copy.m_UpTo.m_Era},
+            {"version", Of.m_Copy.m_UpTo.m_Version},
+            {"former_era", Former.m_Era},
+            {"former_version", Former.m_Version},
+            {"rows", Of.m_Copy.m_Rows.size()},
+            {"deferred", Of.m_Deferred.size()}});
+  // Servers that were missing before may register again only now.
+  for (auto &[Id, Each] : m_State.m_Servers.m_Servers)
+    if (Each.m_RemoveAt != TimePoint::max())
+      Each.m_RemoveAt = m_DeferredUntil;
+  for (Follower &Other : m_Followers) {
+    if (Other.m_Copy.m_UpTo.m_Era >= Of.m_Copy.m_UpTo.m_Era || !m_IsFollower)
+      continue;
+    Other.m_MustRead = true;
+    if (Other.m_Call && Other.m_IsWatch)
+      dropCall(Other);
+    next(Other);
+  }
+}
+
+void DiscoveryClient::defer(Follower &Of, const discovery::Row &Changed) {
+  Of.m_Deferred[Changed.m_Key] = Changed;
+  logEvent(LogLevel::Info, "row_deferred",
+           {{"table", tableName(Of.m_Which)},
+            {"key", Changed.m_Key},
+            {"removed", Changed.m_Removed},
+            {"row_version", Changed.m_Version},
+            {"for_ms", toMillis(m_DeferredUntil - m_State.now())}});
+}
+
+void DiscoveryClient::applyDeferred() {
+  for (Follower &Of : m_Followers) {
+    auto Deferred = std::exchange(Of.m_Deferred, {});
+    for (const auto &[Key, Changed] : Deferred) {
+      logEvent(LogLevel::Info, "deferred_row_applied",
+               {{"table", tableName(Of.m_Which)},
+                {"key", Key},
+                {"removed", Changed.m_Removed}});
+      if (Of.m_Which == FollowedTable::Operator)
+        applyOperatorRow(Changed);
+      else
+        applyServerRow(Changed);
+    }
+    if (!Deferred.empty() && Of.m_Which == FollowedTable::Servers)
+      ++m_State.m_ServersVersion;
+  }
+}
+
+void DiscoveryClient::applyOperatorChange(const discovery::Change &Changed) {
+  // An older configuration is recognised by its own version.
+  bool IsDataCentre =
+      m_State.m_PlatformCodec.m_DecodeOperatorKey(Changed.m_Row.m_Key)
+          .has_value();
+  if (Changed.m_MayBeOutdated && IsDataCentre)
+    return defer(m_Followers[0], Changed.m_Row);
+  applyOperatorRow(Changed.m_Row);
+}
+
+bool DiscoveryClient::isServerRowOlder(const discovery::Row &Changed) const {
+  auto Found = m_State.m_Servers.m_Servers.find(Changed.m_Key);
+  // A server that is not known any more has left.
+  if (Found == m_State.m_Servers.m_Servers.end())
+    return true;
+  auto Read = m_State.m_PlatformCodec.m_DecodeServerRow(Changed);
+  if (!Read)
+    return false;
+  const dispatch::ServerRecord &Known = Found->second.m_Record;
+  const dispatch::ServerRecord &Received = Read.value();
+  return Received.m_Incarnation < Known.m_Incarnation ||
+         (Received.m_Incarnation == Known.m_Incarnation && Known.m_Leaving &&
+          !Received.m_Leaving);
+}
+
+void DiscoveryClient::applyServerChange(const discovery::Change &Changed) {
+  Follower &Of = m_Followers[1];
+  if (!Changed.m_MayBeOutdated)
+    return applyServerRow(Changed.m_Row);
+  if (!Changed.m_Row.m_Removed) {
+    if (isServerRowOlder(Changed.m_Row))
+      return defer(Of, Changed.m_Row);
+    return applyServerRow(Changed.m_Row);
+  }
+  auto Found = m_State.m_Servers.m_Servers.find(Changed.m_Row.m_Key);
+  if (Found == m_State.m_Servers.m_Servers.end())
+    return;
+  // It may have registered after the copy, and registers again if it lives.
+  defer(Of, Changed.m_Row);
+}
+
 void DiscoveryClient::applyOperatorRow(const discovery::Row &Changed) {
   if (Changed.m_Removed) {
     auto Back = m_State.m_PlatformCodec.m_DecodeOperatorKey(Changed.m_Key);
--- a/libs/gateway/src/Node.cpp
+++ b/libs/gateway/src/Node.cpp
@@ -171,6 +171,7 @@
           ? static_cast<double>(
                 m_State.m_ActiveConfiguration->m_Configuration.m_Version)
           : 0.0);
+  m_State.m_Metrics.gauge("store_era", static_cast<double>(m_Discovery.era()));
   Asked->answer(http::makeResponse(200, m_State.m_Metrics.render(),
                                    "text/plain; version=0.0.4"));
 }
@@ -178,10 +179,14 @@
 void Node::Parts::answerRows(const std::shared_ptr<http::Exchange> &Asked,
                              std::string_view Target) {
   uint64_t Table = 0;
-  uint64_t After = 0;
+  discovery::Revision After;
   for (auto [Name, To] :
-       {std::pair("table", &Table), std::pair("after", &After)}) {
+       {std::pair("table", &Table), std::pair("era", &After.m_Era),
+        std::pair("after", &After.m_Version)}) {
     std::string Text = http::queryParameter(Target, Name);
+    // A VM of an older build states no era.
+    if (To == &After.m_Era && Text.empty())
+      continue;
     auto [End, Failure] =
         std::from_chars(Text.data(), Text.data() + Text.size(), *To);
     if (Failure != std::errc() || End != Text.data() + Text.size())
