Log by what a request is recognised, and who ended its connection

Ids are new in each attempt of a caller, so the logs could not show that one request is sent again and again; and a server that ends could not be told from a connection that goes silent.

--- a/libs/gateway/include/hyssopcross/gateway/PlatformCodec.h
+++ b/libs/gateway/include/hyssopcross/gateway/PlatformCodec.h
@@ -34,6 +34,8 @@
   std::string m_RequestId;
   /// Absent if the request carries no deadline.
   std::optional<Duration> m_Deadline;
+  /// Who sends the request, as it states; empty if it does not.
+  std::string m_Caller;
 };
 
 /// Parameters of a directory request.
--- a/libs/gateway/src/CallAttempts.cpp
+++ b/libs/gateway/src/CallAttempts.cpp
@@ -1,5 +1,6 @@
 // Attempts of a call at backend servers: sending, hedging and repeating.
 #include "CallDispatcher.h"
+#include "RequestFingerprint.h"
 #include "hyssopcross/base/Log.h"
 #include <algorithm>
 
@@ -319,6 +320,8 @@
               {"server", Which->m_Server},
               {"end", How.m_Name},
               {"not_run", How.m_NotRun},
+              {"closed_by_server", Result.m_ClosedByServer},
+              {"fingerprint", fingerprintOf(*Of->m_Request, Of->m_Caller)},
               {"took_ms", toMillis(m_State.now() - Which->m_SentAt)}});
   }
   std::string Service = Of->m_Service;
--- a/libs/gateway/src/CallDispatcher.cpp
+++ b/libs/gateway/src/CallDispatcher.cpp
@@ -91,6 +91,7 @@
   Made->m_ActiveConfiguration = m_State.m_ActiveConfiguration;
   Made->m_Route = Route;
   Made->m_Id = Head.m_RequestId;
+  Made->m_Caller = Head.m_Caller;
   Made->m_ReceivedAt = Asked->m_ReceivedAt;
   size_t Part = routing::selectPart(*Route, m_Turns[Route->m_Name]);
   Made->m_Service = Route->m_Parts[Part].m_Service;
--- a/libs/gateway/src/CallDispatcher.h
+++ b/libs/gateway/src/CallDispatcher.h
@@ -61,6 +61,7 @@
     const routing::Route *m_Route = nullptr;
     std::string m_Service;
     std::string m_Id;
+    std::string m_Caller;
     std::shared_ptr<http::Request> m_Request;
     uint64_t m_RequestBytes = 0;
     TimePoint m_ReceivedAt;
--- a/libs/http/include/hyssopcross/http/Client.h
+++ b/libs/http/include/hyssopcross/http/Client.h
@@ -33,6 +33,9 @@
   Response m_Answer;
   /// The request went over a connection that had been used before.
   bool m_Reused = false;
+  /// Of a broken exchange: the server's end closed or reset the connection, so
+  /// it did not go silent.
+  bool m_ClosedByServer = false;
 };
 
 struct ClientPolicy {
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -70,6 +70,15 @@
   setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, 2);
 }
 
+/// Whether a failed read shows that the server's end of the connection closed
+/// or reset it.
+bool isClosedByServer(const error_code &Failure) {
+  return Failure == boost::asio::error::eof ||
+         Failure == boost::asio::error::connection_reset ||
+         Failure == beast_http::error::end_of_stream ||
+         Failure == beast_http::error::partial_message;
+}
+
 } // namespace
 
 const char *exchangeEndName(ExchangeEnd End) {
@@ -133,6 +142,7 @@
     m_Done = std::move(Done);
     m_Writing = false;
     m_MayBeSent = false;
+    m_ClosedByServer = false;
     m_Skipped = 0;
     m_Owner->m_Active[keyOf(m_Server)].insert(this);
     if (m_Socket.is_open())
@@ -198,6 +208,7 @@
   bool m_MayBeSent = false;
   uint64_t m_Held = 0;
   uint32_t m_Skipped = 0;
+  bool m_ClosedByServer = false;
 };
 
 void ClientConnection::connect() {
@@ -294,6 +305,7 @@
             make_error_code(beast_http::error::bad_version).category() &&
         Failure != beast_http::error::end_of_stream &&
         Failure != beast_http::error::partial_message;
+    m_ClosedByServer = isClosedByServer(Failure);
     return finish(IsMalformed ? ExchangeEnd::Malformed : ExchangeEnd::Broken);
   }
   const Response &Answer = m_Parser->get();
@@ -313,6 +325,7 @@
   ExchangeResult Ended;
   Ended.m_End = End;
   Ended.m_Reused = m_Reused;
+  Ended.m_ClosedByServer = m_ClosedByServer && End == ExchangeEnd::Broken;
   bool KeepAlive = false;
   if (End == ExchangeEnd::Answered) {
     KeepAlive = m_Parser->keep_alive() && !m_Parser->need_eof();
--- a/libs/http/tests/ClientTest.cpp
+++ b/libs/http/tests/ClientTest.cpp
@@ -109,6 +109,8 @@
     }
     REQUIRE(Test.waitForResult());
     CHECK(Test.m_Result->m_End == Each.m_End);
+    CHECK(Test.m_Result->m_ClosedByServer ==
+          (Each.m_End == ExchangeEnd::Broken));
     if (Each.m_End == ExchangeEnd::Answered)
       CHECK(Test.m_Result->m_Answer.body() == Each.m_Body);
   }
