Send a request that has crashed three servers to none

Callers of a service were refused for want of servers, since one request, sent again by its caller with a new id, crashed server after server: nothing remembers requests, and each VM sends each attempt on as a new one.

VMs now remember the requests, by method, host, target, caller and body, that were in progress when a server crashed: its end closed the connection without a response, and within 2 s it is found unreachable or has started again. All VMs share what they know, also with one that starts. A request that was at three crashes is refused at once, 503, with the end of its quarantine of 10 min as the time to return; a suspect is neither hedged nor repeated. A crash is attributed to the request that was in progress at the most crashes, and a request that a server completes is no suspect any more, so innocent requests beside it are served. Lost answers, silent connections and servers that leave make no suspects. Memory is bounded by number and time.

In the logs before, one fingerprint was aboard at 24 of 25 ends. Ruled out: retries and hedges as the main cause (7 of 24 ends), and want of room (no refusal before the first ends).

--- a/libs/dispatch/include/hyssopcross/dispatch/Policy.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Policy.h
@@ -97,6 +97,18 @@
   /// How long the notice of an unregistered server is kept after its last
   /// update. Outages of the store last minutes.
   Duration m_NoticeRetention = std::chrono::minutes(15);
+  /// Number of crashed servers from which a request that was in progress at all
+  /// of them is not sent to any more.
+  uint32_t m_CrashesUntilQuarantine = 3;
+  /// Time within which a server whose connections closed is found unreachable
+  /// if it has crashed.
+  Duration m_CrashConfirmTime = std::chrono::seconds(2);
+  /// How long a request is not sent after its last crash, and how long crashes
+  /// are remembered; the latter is longer.
+  Duration m_QuarantineTime = std::chrono::minutes(10);
+  Duration m_SuspectRetention = std::chrono::minutes(15);
+  /// Requests that are remembered because of crashes, some 200 bytes each.
+  size_t m_MaxSuspects = 1024;
   /// Random delay before a VM with queued requests uses a slot that was
   /// announced as free: long compared with the time in which the in-flight
   /// count of the VM that takes it reaches its peers.
@@ -149,6 +161,7 @@
   bool m_AvoidFailing = true;
   bool m_RetryShedSoon = true;
   bool m_KeepRequestLimits = true;
+  bool m_QuarantineCrashers = true;
 };
 
 /// Disables a mechanism by its name, such as "hedge". For an unknown name it
--- a/libs/dispatch/src/Policy.cpp
+++ b/libs/dispatch/src/Policy.cpp
@@ -24,6 +24,7 @@
     Switch{"avoid_failing", &DispatchPolicy::m_AvoidFailing},
     Switch{"retry_shed_soon", &DispatchPolicy::m_RetryShedSoon},
     Switch{"keep_request_limits", &DispatchPolicy::m_KeepRequestLimits},
+    Switch{"quarantine_crashers", &DispatchPolicy::m_QuarantineCrashers},
 };
 
 } // namespace
--- /dev/null
+++ b/libs/dispatch/tests/CrashSuspectsTest.cpp
@@ -0,0 +1,215 @@
+#include "hyssopcross/dispatch/CrashSuspects.h"
+#include "hyssopcross/dispatch/Servers.h"
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace hyssopcross;
+using namespace hyssopcross::dispatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1h};
+constexpr RequestFingerprint Deadly = 1;
+constexpr RequestFingerprint Innocent = 2;
+
+/// A VM's view of servers that crash, and what it knows of suspects.
+struct Fixture {
+  ServerView m_View;
+  CrashSuspects m_State;
+  DispatchPolicy m_Policy;
+  TimePoint m_Now = Start;
+
+  Server &add(const std::string &Id, int64_t Incarnation = 1) {
+    ServerRecord Record;
+    Record.m_Id = Id;
+    Record.m_Service = "service";
+    Record.m_Incarnation = Incarnation;
+    upsertServer(m_View, Record, m_Now);
+    return m_View.m_Servers.find(Id)->second;
+  }
+
+  /// A server closes the connections of requests in progress.
+  void cutOff(const std::string &Id,
+              std::initializer_list<RequestFingerprint> Requests) {
+    for (RequestFingerprint Each : Requests)
+      recordCutOff(m_State, m_Policy, {Each, {Id, 1, m_Now}});
+  }
+
+  void setHealth(const std::string &Id, LoadReport::Health Health) {
+    LoadReport Report;
+    Report.m_Health = Health;
+    recordReport(m_View.m_Servers.find(Id)->second, Report, 0ms, m_Now);
+  }
+
+  size_t confirm() {
+    return confirmCrashes(m_State, m_View, m_Policy, m_Now).size();
+  }
+
+  /// A server crashes and is found unreachable 100 ms later.
+  void crash(const std::string &Id,
+             std::initializer_list<RequestFingerprint> Requests) {
+    add(Id);
+    cutOff(Id, Requests);
+    m_Now += 100ms;
+    setHealth(Id, LoadReport::Health::Unreachable);
+    confirm();
+    m_Now += 1s;
+  }
+
+  bool isQuarantined(RequestFingerprint Request) const {
+    return m_Now < quarantinedUntil(m_State, m_Policy, Request);
+  }
+};
+
+} // namespace
+
+// Guards against a request that crashes server after server.
+TEST_CASE("a request is quarantined once three servers have crashed with it") {
+  for (bool Enabled : {true, false}) {
+    CAPTURE(Enabled);
+    Fixture Test;
+    Test.m_Policy.m_QuarantineCrashers = Enabled;
+    for (const char *Id : {"a", "b", "c"}) {
+      CHECK_FALSE(Test.isQuarantined(Deadly));
+      Test.crash(Id, {Deadly});
+    }
+    CHECK(Test.isQuarantined(Deadly) == Enabled);
+    CHECK_FALSE(Test.isQuarantined(Innocent));
+  }
+}
+
+// Guards against proper requests that are refused because their connections
+// ended, for whatever reason.
+TEST_CASE("only a crash of the server makes a request a suspect") {
+  struct Case {
+    std::string m_Name;
+    std::function<void(Fixture &, Server &)> m_Then;
+    bool m_IsSuspect;
+  };
+  const Case Cases[] = {
+      {"the server stays healthy",
+       [](Fixture &Test, Server &) {
+         Test.setHealth("a", LoadReport::Health::Healthy);
+       },
+       false},
+      {"the server is unhealthy, but there",
+       [](Fixture &Test, Server &) {
+         Test.setHealth("a", LoadReport::Health::Unhealthy);
+       },
+       false},
+      {"the server is unreachable",
+       [](Fixture &Test, Server &) {
+         Test.setHealth("a", LoadReport::Health::Unreachable);
+       },
+       true},
+      {"the server has started again",
+       [](Fixture &Test, Server &) { Test.add("a", 2); }, true},
+      {"the server is removed",
+       [](Fixture &Test, Server &) { removeServer(Test.m_View, "a"); }, false},
+      {"the server was leaving",
+       [](Fixture &Test, Server &Of) {
+         Of.m_Record.m_Leaving = true;
+         Test.setHealth("a", LoadReport::Health::Unreachable);
+       },
+       false},
+      {"the server is unreachable much later",
+       [](Fixture &Test, Server &) {
+         Test.m_Now += Test.m_Policy.m_CrashConfirmTime + 1ms;
+         Test.confirm();
+         Test.setHealth("a", LoadReport::Health::Unreachable);
+       },
+       false},
+  };
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Name);
+    Fixture Test;
+    Server &Of = Test.add("a");
+    Test.cutOff("a", {Deadly});
+    Test.m_Now += 50ms;
+    CHECK(Test.confirm() == 0);
+    Each.m_Then(Test, Of);
+    CHECK(Test.confirm() == (Each.m_IsSuspect ? 1 : 0));
+    CHECK(isSuspect(Test.m_State, Deadly) == Each.m_IsSuspect);
+  }
+}
+
+TEST_CASE("a crash counts once, by whomever it is reported") {
+  Fixture Test;
+  Test.crash("a", {Deadly, Deadly});
+  Suspect Told;
+  Told.m_Crashes = {{"a", 1, Start + 300ms}, {"b", 1, Start + 5s}};
+  Test.m_Now = Start + 6s;
+  CHECK(mergeSuspect(Test.m_State, Test.m_Policy, Deadly, Told, Test.m_Now));
+  CHECK_FALSE(
+      mergeSuspect(Test.m_State, Test.m_Policy, Deadly, Told, Test.m_Now));
+  CHECK_FALSE(Test.isQuarantined(Deadly));
+  // A server without another incarnation may crash again later.
+  Test.crash("a", {Deadly});
+  CHECK(Test.isQuarantined(Deadly));
+}
+
+// Guards against innocent requests that are blamed for the company they keep.
+TEST_CASE("a crash is attributed to the request that was in progress at most") {
+  Fixture Test;
+  Test.crash("a", {Deadly});
+  for (const char *Id : {"b", "c", "d"})
+    Test.crash(Id, {Deadly, Innocent});
+  CHECK(Test.isQuarantined(Deadly));
+  CHECK_FALSE(Test.isQuarantined(Innocent));
+}
+
+TEST_CASE("a completed request is no suspect, also if old crashes are told") {
+  Fixture Test;
+  for (const char *Id : {"a", "b"})
+    Test.crash(Id, {Innocent});
+  Suspect Told = Test.m_State.m_Suspects[Innocent];
+  CHECK(clearSuspect(Test.m_State, Innocent, Test.m_Now));
+  CHECK_FALSE(clearSuspect(Test.m_State, Innocent, Test.m_Now));
+  CHECK_FALSE(clearSuspect(Test.m_State, Deadly, Test.m_Now));
+  CHECK_FALSE(isSuspect(Test.m_State, Innocent));
+  CHECK_FALSE(
+      mergeSuspect(Test.m_State, Test.m_Policy, Innocent, Told, Test.m_Now));
+  Test.m_Now += 1s;
+  Test.crash("c", {Innocent});
+  CHECK_FALSE(Test.isQuarantined(Innocent));
+  // Another VM that saw it completed clears it here.
+  Told.m_ClearedAt = Test.m_Now;
+  CHECK(mergeSuspect(Test.m_State, Test.m_Policy, Innocent, Told, Test.m_Now));
+  CHECK_FALSE(isSuspect(Test.m_State, Innocent));
+}
+
+TEST_CASE("a quarantine ends, and one further crash begins the next") {
+  Fixture Test;
+  for (const char *Id : {"a", "b", "c"})
+    Test.crash(Id, {Deadly});
+  Test.m_Now += Test.m_Policy.m_QuarantineTime;
+  expireSuspects(Test.m_State, Test.m_Policy, Test.m_Now);
+  CHECK_FALSE(Test.isQuarantined(Deadly));
+  Test.crash("d", {Deadly});
+  CHECK(Test.isQuarantined(Deadly));
+  Test.m_Now += Test.m_Policy.m_SuspectRetention;
+  expireSuspects(Test.m_State, Test.m_Policy, Test.m_Now);
+  CHECK(Test.m_State.m_Suspects.empty());
+}
+
+TEST_CASE("memory for suspects is bounded, and the worst are kept") {
+  Fixture Test;
+  for (const char *Id : {"a", "b", "c"})
+    Test.crash(Id, {Deadly});
+  for (RequestFingerprint Request = 10; Request < 5000; ++Request) {
+    Suspect Told;
+    Told.m_Crashes = {{"x" + std::to_string(Request), 1, Test.m_Now}};
+    mergeSuspect(Test.m_State, Test.m_Policy, Request, Told, Test.m_Now);
+    recordCutOff(Test.m_State, Test.m_Policy, {Request, {"y", 1, Test.m_Now}});
+  }
+  CHECK(Test.m_State.m_Suspects.size() <= Test.m_Policy.m_MaxSuspects);
+  CHECK(Test.m_State.m_CutOff.size() <= 1024);
+  CHECK(Test.isQuarantined(Deadly));
+  for (int I = 0; I < 100; ++I) {
+    Suspect Told;
+    Told.m_Crashes = {{"z" + std::to_string(I), 1, Test.m_Now}};
+    mergeSuspect(Test.m_State, Test.m_Policy, Deadly, Told, Test.m_Now);
+  }
+  CHECK(Test.m_State.m_Suspects[Deadly].m_Crashes.size() <= 8);
+}
--- a/libs/fleet/fleet.thrift
+++ b/libs/fleet/fleet.thrift
@@ -124,6 +124,23 @@
   2: i64 incarnation,
 }
 
+// A backend server that crashed with a request in progress.
+struct Crash {
+  1: string server,
+  2: i64 incarnation,
+  // Time since the crash.
+  3: i32 ageMillis,
+}
+
+// A request that was in progress when servers crashed.
+struct Suspect {
+  // Fingerprint of the request.
+  1: i64 request,
+  2: list<Crash> crashes,
+  // Time since a server last completed it; absent if none did.
+  3: optional i32 completedAgeMillis,
+}
+
 struct Datagram {
   1: i32 sender,
   2: i64 incarnation,
@@ -141,4 +158,5 @@
   11: optional list<Digest> digests,
   12: optional list<RequestLimit> limits,
   13: optional list<Leaving> leaving,
+  14: optional list<Suspect> suspects,
 }
--- a/libs/fleet/include/hyssopcross/fleet/Datagram.h
+++ b/libs/fleet/include/hyssopcross/fleet/Datagram.h
@@ -57,6 +57,22 @@
   int64_t m_Incarnation = 0;
 };
 
+/// A backend server that crashed with a request in progress.
+struct ReportedCrash {
+  std::string m_Server;
+  int64_t m_Incarnation = 0;
+  /// Time since the crash.
+  Duration m_Age{};
+};
+
+/// A request that was in progress when servers crashed.
+struct SuspectReport {
+  uint64_t m_Request = 0;
+  std::vector<ReportedCrash> m_Crashes;
+  /// Time since a server last completed the request; absent if none did.
+  std::optional<Duration> m_CompletedAge;
+};
+
 /// Rows of a followed table that one VM forwards to others.
 struct TableRows {
   uint32_t m_Table = 0;
@@ -92,6 +108,7 @@
   std::vector<Digest> m_Digests;
   std::vector<ServerLimit> m_Limits;
   std::vector<ServerLeaving> m_Leaving;
+  std::vector<SuspectReport> m_Suspects;
 };
 
 /// Encodes a datagram with Thrift's compact protocol.
--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -212,6 +212,34 @@
   return Output;
 }
 
+wire::Suspect toWire(const SuspectReport &From) {
+  wire::Suspect Output;
+  Output.request = static_cast<int64_t>(From.m_Request);
+  for (const ReportedCrash &Each : From.m_Crashes) {
+    wire::Crash Seen;
+    Seen.server = Each.m_Server;
+    Seen.incarnation = Each.m_Incarnation;
+    Seen.ageMillis = toMillis32(Each.m_Age);
+    Output.crashes.push_back(std::move(Seen));
+  }
+  if (From.m_CompletedAge)
+    Output.__set_completedAgeMillis(toMillis32(*From.m_CompletedAge));
+  return Output;
+}
+
+SuspectReport fromWire(wire::Suspect &From) {
+  SuspectReport Output;
+  Output.m_Request = static_cast<uint64_t>(From.request);
+  for (wire::Crash &Each : From.crashes)
+    Output.m_Crashes.push_back(
+        {std::move(Each.server), Each.incarnation,
+         std::chrono::milliseconds(std::max(0, Each.ageMillis))});
+  if (From.__isset.completedAgeMillis)
+    Output.m_CompletedAge =
+        std::chrono::milliseconds(std::max(0, From.completedAgeMillis));
+  return Output;
+}
+
 /// Encodes a message with the compact protocol.
 template <typename Message> std::string encode(const Message &From) {
   auto Buffer = std::make_shared<TMemoryBuffer>();
@@ -306,6 +334,11 @@
       Output.leaving.push_back(std::move(Server));
     }
   }
+  if (!Message.m_Suspects.empty()) {
+    Output.__isset.suspects = true;
+    for (const SuspectReport &Each : Message.m_Suspects)
+      Output.suspects.push_back(toWire(Each));
+  }
   return encode(Output);
 }
 
@@ -353,6 +386,8 @@
       Output.m_Limits.push_back(fromWire(Each));
   for (wire::Leaving &Each : Read.leaving)
     Output.m_Leaving.push_back({std::move(Each.server), Each.incarnation});
+  for (wire::Suspect &Each : Read.suspects)
+    Output.m_Suspects.push_back(fromWire(Each));
   return Output;
 }
 
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -377,6 +377,8 @@
   Sent.m_KnownHosts = {"10.0.0.3"};
   Sent.m_Following = Following{true, {{2, 5}, {2, 7}}};
   Sent.m_Leaving = {{"i-4", 1768123339041}};
+  Sent.m_Suspects = {{UINT64_MAX - 1, {{"i-5", 3, 40ms}, {"i-6", 0, 5s}}, 2s},
+                     {7, {}, std::nullopt}};
   TableRows Rows;
   Rows.m_Table = 1;
   Rows.m_After = {2, 5};
--- a/libs/gateway/src/CallAttempts.cpp
+++ b/libs/gateway/src/CallAttempts.cpp
@@ -199,6 +199,8 @@
     return false;
   if (Of->m_Arrivals >= Of->m_Route->m_Attempts)
     return false;
+  if (HasRun && isSuspect(Of))
+    return false;
   bool Allowed = m_Budgets[Of->m_Service].take(
       m_State.m_Settings.m_Repeats, fleet::quotaDivisor(m_State.m_Fleet),
       m_State.now());
@@ -313,6 +315,7 @@
   Of->m_ShedWithFreeSlot =
       End == dispatch::AttemptEnd::Shed && hadFreeSlot(*Which, Result.m_Answer);
   Of->m_LastEnd = How.m_Name;
+  noteSuspicion(Of, *Which, Result, !How.m_NotRun);
   if (!How.m_IsGood) {
     m_State.m_Metrics.count("attempt_" + How.m_Name);
     logEvent(LogLevel::Info, "attempt_failed",
@@ -321,7 +324,7 @@
               {"end", How.m_Name},
               {"not_run", How.m_NotRun},
               {"closed_by_server", Result.m_ClosedByServer},
-              {"fingerprint", fingerprintOf(*Of->m_Request, Of->m_Caller)},
+              {"fingerprint", fingerprintOfCall(Of)},
               {"took_ms", toMillis(m_State.now() - Which->m_SentAt)}});
   }
   std::string Service = Of->m_Service;
--- a/libs/gateway/src/CallDispatcher.cpp
+++ b/libs/gateway/src/CallDispatcher.cpp
@@ -169,6 +169,8 @@
 }
 
 void CallDispatcher::decide(const CallRef &Of) {
+  if (endIfQuarantined(Of))
+    return;
   TimePoint Now = m_State.now();
   auto &Queue = m_Queues[Of->m_Service];
   dispatch::CallInputs Inputs = inputsOf(Of);
--- a/libs/gateway/src/CallDispatcher.h
+++ b/libs/gateway/src/CallDispatcher.h
@@ -31,6 +31,10 @@
   void serverReported(const dispatch::Server &Of);
   /// Drops the traffic split positions of all routes, since routes may be gone.
   void configurationChanged();
+  /// Finds out which requests were in progress when servers crashed, tells the
+  /// other VMs, and ends the queued calls that may not be sent any more. Called
+  /// several times a second.
+  void confirmCrashes();
   /// Ends and logs the calls that are cut off when the process exits.
   void abandonAll();
   size_t activeCount() const { return m_Calls.size(); }
@@ -62,6 +66,8 @@
     std::string m_Service;
     std::string m_Id;
     std::string m_Caller;
+    /// Computed when it is first needed.
+    std::optional<dispatch::RequestFingerprint> m_Fingerprint;
     std::shared_ptr<http::Request> m_Request;
     uint64_t m_RequestBytes = 0;
     TimePoint m_ReceivedAt;
@@ -120,6 +126,15 @@
                      const http::ExchangeResult &Result,
                      dispatch::AttemptEnd End);
   bool mayRepeat(const CallRef &Of, bool HasRun);
+  dispatch::RequestFingerprint fingerprintOfCall(const CallRef &Of);
+  /// Whether the request of a call may crash servers; see dispatch::isSuspect.
+  bool isSuspect(const CallRef &Of);
+  /// Ends a call whose request may not be sent because it has crashed servers.
+  /// Returns whether it did.
+  bool endIfQuarantined(const CallRef &Of);
+  /// Records what the end of an attempt shows of its request.
+  void noteSuspicion(const CallRef &Of, const Attempt &Which,
+                     const http::ExchangeResult &Result, bool HasRun);
   void considerHedge(const CallRef &Of);
   void considerHedgeOfSlowStart(const CallRef &Of, const dispatch::Server &At);
   dispatch::Choice chooseHedge(const CallRef &Of, Duration Remaining);
@@ -169,6 +184,8 @@
   /// attempts.
   std::map<std::string, Duration> m_FullDeadlines;
   std::map<std::string, dispatch::RetryBudget, std::less<>> m_Budgets;
+  /// Version of the suspects as of the last look at the queued calls.
+  uint64_t m_SuspectsVersion = 0;
 };
 
 } // namespace hyssopcross::gateway
--- a/libs/gateway/src/FleetMessenger.cpp
+++ b/libs/gateway/src/FleetMessenger.cpp
@@ -17,8 +17,12 @@
 /// Largest size of a datagram with rows; for larger batches the rows are only
 /// announced, and the receivers fetch them.
 constexpr size_t MaxRowBytes = 12288;
+/// How long suspects are repeated in heartbeats, in case a datagram is lost.
+constexpr Duration SuspectRepeatTime = std::chrono::seconds(3);
 /// Notices of servers in the reply to a greeting, some 30 bytes each.
 constexpr size_t MaxGreetingNotices = 200;
+/// Suspects in one datagram, some 100 bytes each.
+constexpr size_t MaxToldSuspects = 50;
 
 fleet::ServerReport reportOf(const dispatch::Server &Of) {
   fleet::ServerReport Made{Of.m_Key, Of.m_Report, std::nullopt};
@@ -34,6 +38,18 @@
   return Made;
 }
 
+fleet::SuspectReport reportOf(dispatch::RequestFingerprint Request,
+                              const dispatch::Suspect &Known, TimePoint Now) {
+  fleet::SuspectReport Made;
+  Made.m_Request = Request;
+  for (const dispatch::Crash &Each : Known.m_Crashes)
+    Made.m_Crashes.push_back(
+        {Each.m_Server, Each.m_Incarnation, Now - Each.m_At});
+  if (Known.m_ClearedAt != TimePoint{})
+    Made.m_CompletedAge = Now - Known.m_ClearedAt;
+  return Made;
+}
+
 /// Adds the request limit of a server, or that it was lifted, to a message.
 void addLimit(fleet::Datagram &To, const dispatch::Server &Of, TimePoint Now) {
   if (const dispatch::RequestLimit *Limit = dispatch::limitOf(Of))
@@ -130,6 +146,11 @@
     }
   }
   addNotices(Reply);
+  // A few of these exist, and those that have been completed since tell nothing
+  // to a VM that has just started.
+  for (const auto &[Request, Each] : m_State.m_Suspects.m_Suspects)
+    if (!Each.m_Crashes.empty() && Reply.m_Suspects.size() < MaxToldSuspects)
+      Reply.m_Suspects.push_back(reportOf(Request, Each, m_State.now()));
   send(fleet::encodeDatagram(Reply), From.m_Host);
 }
 
@@ -183,6 +204,10 @@
     if (fleet::ServerInFlight Told = inFlightOf(Of);
         Told.m_Count > 0 || Told.m_LimitedSends > 0)
       Beat.m_InFlight.push_back(Told);
+  for (const auto &[Request, Each] : dispatch::suspectsSince(
+           m_State.m_Suspects, m_State.now() - SuspectRepeatTime))
+    if (Beat.m_Suspects.size() < MaxToldSuspects)
+      Beat.m_Suspects.push_back(reportOf(Request, Each, m_State.now()));
   const fleet::FleetPolicy &Policy = m_State.m_Settings.m_FleetPolicy;
   size_t Named = isNew() ? Policy.m_BootstrapGossipHosts : Policy.m_GossipHosts;
   std::string_view DataCentre;
@@ -336,6 +361,7 @@
   for (const fleet::TableRows &Each : Message.m_Rows)
     m_Handlers.m_OnTableRows(Each);
   applyLimits(Message);
+  applySuspects(Message);
   for (const fleet::ServerLeaving &Each : Message.m_Leaving)
     noteLeaving(m_State, Each.m_Server, Each.m_Incarnation, "vm");
   auto &ByKey = m_State.m_Servers.m_ByKey;
@@ -388,6 +414,22 @@
   }
 }
 
+void FleetMessenger::applySuspects(const fleet::Datagram &Message) {
+  TimePoint Now = m_State.now();
+  for (const fleet::SuspectReport &Each : Message.m_Suspects) {
+    dispatch::Suspect Known;
+    for (const fleet::ReportedCrash &Seen : Each.m_Crashes)
+      Known.m_Crashes.push_back(
+          {Seen.m_Server, Seen.m_Incarnation, Now - Seen.m_Age});
+    if (Each.m_CompletedAge)
+      Known.m_ClearedAt = Now - *Each.m_CompletedAge;
+    if (dispatch::mergeSuspect(m_State.m_Suspects,
+                               m_State.m_Settings.m_Dispatch, Each.m_Request,
+                               Known, Now))
+      noteSuspect(m_State, Each.m_Request, "vm");
+  }
+}
+
 void FleetMessenger::queueCheckUpdate(const CheckUpdate &News) {
   bool &IsChange = m_PendingChecks[News.m_Server.m_Record.m_Id];
   IsChange = IsChange || News.m_Result == dispatch::CheckResult::Change;
@@ -433,6 +475,11 @@
   scheduleServerUpdates();
 }
 
+void FleetMessenger::queueSuspect(dispatch::RequestFingerprint Request) {
+  m_PendingSuspects.insert(Request);
+  scheduleServerUpdates();
+}
+
 void FleetMessenger::sendTableRows(const fleet::TableRows &Rows) {
   fleet::Datagram News = newDatagram();
   News.m_Following = m_Handlers.m_GetOwnFollowing();
@@ -557,6 +604,16 @@
     News.m_Leaving = std::exchange(m_PendingLeaving, {});
     sendToAll(fleet::encodeDatagram(News));
   }
+  if (!m_PendingSuspects.empty()) {
+    fleet::Datagram News = newDatagram();
+    for (dispatch::RequestFingerprint Each :
+         std::exchange(m_PendingSuspects, {}))
+      if (auto Known = m_State.m_Suspects.m_Suspects.find(Each);
+          Known != m_State.m_Suspects.m_Suspects.end() &&
+          News.m_Suspects.size() < MaxToldSuspects)
+        News.m_Suspects.push_back(reportOf(Each, Known->second, m_State.now()));
+    sendToAll(fleet::encodeDatagram(News));
+  }
   // Group servers used by the same VMs into one datagram.
   std::map<std::vector<std::string>, fleet::Datagram> ByUsers;
   auto &Servers = m_State.m_Servers.m_Servers;
--- a/libs/gateway/src/FleetMessenger.h
+++ b/libs/gateway/src/FleetMessenger.h
@@ -56,6 +56,8 @@
   /// Queues for all VMs the notice that a server, registered or not, is
   /// shutting down.
   void queueLeaving(const std::string &Server, int64_t Incarnation);
+  /// Queues for all VMs what is known of a request that may crash servers.
+  void queueSuspect(dispatch::RequestFingerprint Request);
   /// Notifies all VMs that the store has just answered this one.
   void sendStoreConfirmation();
   /// Forwards rows to all VMs. If they do not fit in a datagram, only announces
@@ -69,6 +71,8 @@
   /// Applies the request limits of servers, and the requests that the sender
   /// counts against them.
   void applyLimits(const fleet::Datagram &Message);
+  /// Applies what the sender knows of requests that may crash servers.
+  void applySuspects(const fleet::Datagram &Message);
   void onHeartbeatTimer();
   void sendHeartbeat();
   std::string greeting();
@@ -130,6 +134,7 @@
   };
   std::map<std::string, PendingServerUpdate> m_PendingServerUpdates;
   std::vector<fleet::ServerLeaving> m_PendingLeaving;
+  std::set<dispatch::RequestFingerprint> m_PendingSuspects;
   std::map<std::string, Users> m_Users;
   uint64_t m_CheckBatchCount = 0;
   TimePoint m_DigestAt{};
--- a/libs/gateway/src/Node.cpp
+++ b/libs/gateway/src/Node.cpp
@@ -206,6 +206,7 @@
   m_Internal.sweep();
   m_State.m_Client.sweep();
   m_Discovery.sweep();
+  m_Calls.confirmCrashes();
   updateReadiness();
   if (m_State.now() - m_ModelsLoggedAt >= ModelLogInterval) {
     m_ModelsLoggedAt = m_State.now();
--- a/libs/gateway/src/NodeState.cpp
+++ b/libs/gateway/src/NodeState.cpp
@@ -103,6 +103,28 @@
   return Changes;
 }
 
+void noteSuspect(NodeState &State, dispatch::RequestFingerprint Request,
+                 const char *Source) {
+  ++State.m_SuspectsVersion;
+  const dispatch::Suspect &Known = State.m_Suspects.m_Suspects[Request];
+  TimePoint Until = dispatch::quarantinedUntil(
+      State.m_Suspects, State.m_Settings.m_Dispatch, Request);
+  bool IsQuarantined = State.now() < Until;
+  bool IsCleared = Known.m_Crashes.empty();
+  State.m_Metrics.count(IsQuarantined ? "request_quarantined"
+                        : IsCleared   ? "request_cleared"
+                                      : "request_suspected");
+  logEvent(IsQuarantined ? LogLevel::Warning : LogLevel::Info,
+           IsQuarantined ? "request_quarantined"
+           : IsCleared   ? "request_cleared"
+                         : "request_suspected",
+           {{"fingerprint", Request},
+            {"crashes", Known.m_Crashes.size()},
+            {"server", IsCleared ? "" : Known.m_Crashes.back().m_Server},
+            {"for_ms", IsQuarantined ? toMillis(Until - State.now()) : 0},
+            {"told_by", Source}});
+}
+
 void logServiceModels(const NodeState &State) {
   const dispatch::DispatchPolicy &Policy = State.m_Settings.m_Dispatch;
   for (const auto &[Service, Servers] : State.m_Servers.m_ByService) {
--- a/libs/gateway/src/NodeState.h
+++ b/libs/gateway/src/NodeState.h
@@ -3,6 +3,7 @@
 
 #include "Metrics.h"
 #include "hyssopcross/dispatch/Choice.h"
+#include "hyssopcross/dispatch/CrashSuspects.h"
 #include "hyssopcross/dispatch/Servers.h"
 #include "hyssopcross/fleet/Membership.h"
 #include "hyssopcross/gateway/PlatformCodec.h"
@@ -62,6 +63,9 @@
   fleet::RingsByService m_Rings;
   /// Incremented whenever the rings are rebuilt.
   uint64_t m_RingsVersion = 1;
+  dispatch::CrashSuspects m_Suspects;
+  /// Incremented whenever a crash becomes known.
+  uint64_t m_SuspectsVersion = 0;
   /// Null until the first configuration is received.
   std::shared_ptr<const ActiveConfiguration> m_ActiveConfiguration;
   /// Whether the sources of the operators' table are currently reachable.
@@ -130,6 +134,11 @@
 void logLimit(NodeState &State, const std::string &Id, int64_t Incarnation,
               std::optional<double> PerSecond, const char *Source);
 
+/// Logs what is newly known of a request that was in progress when servers
+/// crashed.
+void noteSuspect(NodeState &State, dispatch::RequestFingerprint Request,
+                 const char *Source);
+
 /// Logs the parameters that this VM has estimated for each service's servers.
 void logServiceModels(const NodeState &State);
 
