Let no list of a datagram claim more entries than the datagram has bytes

A datagram of six bytes that claims a list of 16 million entries made a VM take 1.25 GB, far over its limit: Thrift makes room for what a list claims before it reads an entry, and the limit was 16 million for any message. It is now the number of bytes of the message.

--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -256,7 +256,12 @@
     auto Buffer = std::make_shared<TMemoryBuffer>(
         reinterpret_cast<uint8_t *>(const_cast<char *>(Bytes.data())),
         static_cast<uint32_t>(Bytes.size()));
-    TCompactProtocolT<TMemoryBuffer> Protocol(Buffer, MaxBytes, MaxBytes);
+    // Each entry of a list takes a byte at least. Thrift makes room for as many
+    // entries as a list claims before it reads the first one.
+    auto MaxEntries = static_cast<int32_t>(
+        std::min<size_t>(Bytes.size(), static_cast<size_t>(MaxBytes)));
+    TCompactProtocolT<TMemoryBuffer> Protocol(Buffer, MaxBytes,
+                                              std::max(1, MaxEntries));
     Read.read(&Protocol);
   } catch (const apache::thrift::TException &Failure) {
     return fail(ErrorCode::Protocol,
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 #include <random>
 #include <set>
+#include <sys/resource.h>
 
 using namespace hyssopcross;
 using namespace hyssopcross::fleet;
@@ -58,6 +59,13 @@
   return View;
 }
 
+/// The most memory that this process has used.
+int64_t peakMemoryKilobytes() {
+  rusage Used{};
+  ::getrusage(RUSAGE_SELF, &Used);
+  return Used.ru_maxrss;
+}
+
 } // namespace
 
 TEST_CASE(
@@ -424,6 +432,22 @@
   CHECK(Read.value().m_Limits[0].m_PerSecond == 1.5);
 }
 
+// Guards against a VM that ends for want of memory because of a few bytes.
+TEST_CASE("a list that claims more entries than its message holds is refused") {
+  int64_t Before = peakMemoryKilobytes();
+  // Compact protocol: a field header of type list, then the count of structs.
+  for (uint8_t Field : {6, 7, 10, 11, 12, 13, 14}) {
+    CAPTURE(static_cast<int>(Field));
+    std::string Bytes = {static_cast<char>(Field << 4 | 9),
+                         static_cast<char>(0xfc)};
+    // 16,000,000 as a variable-length number.
+    Bytes += {static_cast<char>(0x80), static_cast<char>(0xc8),
+              static_cast<char>(0xd0), 0x07};
+    CHECK_FALSE(decodeDatagram(Bytes));
+  }
+  CHECK(peakMemoryKilobytes() - Before < 100000);
+}
+
 TEST_CASE("decoding arbitrary bytes fails only with a protocol error") {
   std::mt19937 Random(3);
   Datagram Sent;
