Refuse negative versions and eras in messages between VMs

A row batch or an announcement with a negative version or era turned into one that counts as newer than all others: the copy would take no change any more, or the VM would ask for one that nobody has, without end. The test failed in 10 checks before.

--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -161,6 +161,27 @@
   return Output;
 }
 
+/// Whether a number is a version or an era. A negative one would turn into one
+/// that counts as newer than all others.
+bool isCount(int64_t Number) { return Number >= 0; }
+
+bool isValid(const wire::Rows &From) {
+  return isCount(From.after) && isCount(From.at) && isCount(From.era) &&
+         std::all_of(
+             From.rows.begin(), From.rows.end(),
+             [](const wire::Row &Each) { return isCount(Each.version); });
+}
+
+bool isValid(const wire::Following &From) {
+  return std::all_of(From.versions.begin(), From.versions.end(), isCount) &&
+         std::all_of(From.eras.begin(), From.eras.end(), isCount);
+}
+
+auto invalidNumber() {
+  return fail(ErrorCode::Protocol,
+              "invalid message from an entry VM: negative version or era");
+}
+
 TableRows fromWire(wire::Rows &From) {
   TableRows Output;
   Output.m_Table = static_cast<uint8_t>(std::max<int8_t>(0, From.table));
@@ -279,6 +300,8 @@
   auto Read = decode<wire::Rows>(Bytes);
   if (!Read)
     return fail(Read.error().m_Code, Read.error().m_Message);
+  if (!isValid(Read.value()))
+    return invalidNumber();
   return fromWire(Read.value());
 }
 
@@ -352,6 +375,12 @@
   if (!Decoded)
     return fail(Decoded.error().m_Code, Decoded.error().m_Message);
   wire::Datagram &Read = Decoded.value();
+  bool IsValid =
+      (!Read.__isset.following || isValid(Read.following)) &&
+      std::all_of(Read.rows.begin(), Read.rows.end(),
+                  [](const wire::Rows &Each) { return isValid(Each); });
+  if (!IsValid)
+    return invalidNumber();
   Datagram Output;
   Output.m_Sender = static_cast<uint32_t>(Read.sender);
   Output.m_Incarnation = Read.incarnation;
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -432,6 +432,41 @@
   CHECK(Read.value().m_Limits[0].m_PerSecond == 1.5);
 }
 
+// Guards against a copy that takes nothing any more, since a version that no
+// store gives out counts as newer than all others.
+TEST_CASE("versions and eras below zero are a protocol error") {
+  struct Case {
+    std::string m_Name;
+    discovery::Revision m_After;
+    discovery::Revision m_UpTo;
+    uint64_t m_RowVersion;
+    bool m_IsValid;
+  };
+  constexpr uint64_t Negative = UINT64_MAX;
+  const Case Cases[] = {
+      {"valid", {2, 5}, {2, 7}, 6, true},
+      {"after", {2, Negative}, {2, 7}, 6, false},
+      {"up to", {2, 5}, {2, Negative}, 6, false},
+      {"era", {Negative, 5}, {Negative, 7}, 6, false},
+      {"row", {2, 5}, {2, 7}, Negative, false},
+  };
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Name);
+    TableRows Rows;
+    Rows.m_After = Each.m_After;
+    Rows.m_Batch.m_UpTo = Each.m_UpTo;
+    Rows.m_Batch.m_Rows = {{"key", "value", Each.m_RowVersion}};
+    CHECK(decodeRows(encodeRows(Rows)).has_value() == Each.m_IsValid);
+    Datagram Sent;
+    Sent.m_Rows = {Rows};
+    CHECK(decodeDatagram(encodeDatagram(Sent)).has_value() == Each.m_IsValid);
+    Datagram Announced;
+    Announced.m_Following = Following{true, {{2, 5}, Each.m_UpTo}};
+    bool IsValid = Each.m_UpTo == discovery::Revision{2, 7};
+    CHECK(decodeDatagram(encodeDatagram(Announced)).has_value() == IsValid);
+  }
+}
+
 // Guards against a VM that ends for want of memory because of a few bytes.
 TEST_CASE("a list that claims more entries than its message holds is refused") {
   int64_t Before = peakMemoryKilobytes();
