--- a/libs/discovery/include/hyssopcross/discovery/Revision.h
+++ b/libs/discovery/include/hyssopcross/discovery/Revision.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace hyssopcross::discovery {
 
@@ -15,7 +16,10 @@
   uint64_t m_Era = 0;
   uint64_t m_Version = 0;
 
-  friend auto operator<=>(const Revision &, const Revision &) = default;
+  friend bool operator==(const Revision &, const Revision &) = default;
+  friend auto operator<=>(const Revision &A, const Revision &B) {
+    return std::tie(A.m_Era, A.m_Version) <=> std::tie(B.m_Era, B.m_Version);
+  }
 };
 
 } // namespace hyssopcross::discovery
--- a/libs/dispatch/tests/CrashSuspectsTest.cpp
+++ b/libs/dispatch/tests/CrashSuspectsTest.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 const TimePoint Start{1h};
-constexpr RequestFingerprint Deadly = 1;
-constexpr RequestFingerprint Innocent = 2;
+constexpr RequestFingerprint Crashing = 1;
+constexpr RequestFingerprint Proper = 2;
 
 /// A VM's view of servers that crash, and what it knows of suspects.
 struct Fixture {
@@ -71,11 +71,11 @@
     Fixture Test;
     Test.m_Policy.m_QuarantineCrashers = Enabled;
     for (const char *Id : {"a", "b", "c"}) {
-      CHECK_FALSE(Test.isQuarantined(Deadly));
-      Test.crash(Id, {Deadly});
+      CHECK_FALSE(Test.isQuarantined(Crashing));
+      Test.crash(Id, {Crashing});
     }
-    CHECK(Test.isQuarantined(Deadly) == Enabled);
-    CHECK_FALSE(Test.isQuarantined(Innocent));
+    CHECK(Test.isQuarantined(Crashing) == Enabled);
+    CHECK_FALSE(Test.isQuarantined(Proper));
   }
 }
 
@@ -125,69 +125,70 @@
     CAPTURE(Each.m_Name);
     Fixture Test;
     Server &Of = Test.add("a");
-    Test.cutOff("a", {Deadly});
+    Test.cutOff("a", {Crashing});
     Test.m_Now += 50ms;
     CHECK(Test.confirm() == 0);
     Each.m_Then(Test, Of);
     CHECK(Test.confirm() == (Each.m_IsSuspect ? 1 : 0));
-    CHECK(isSuspect(Test.m_State, Deadly) == Each.m_IsSuspect);
+    CHECK(isSuspect(Test.m_State, Crashing) == Each.m_IsSuspect);
   }
 }
 
 TEST_CASE("a crash counts once, by whomever it is reported") {
   Fixture Test;
-  Test.crash("a", {Deadly, Deadly});
+  Test.crash("a", {Crashing, Crashing});
   Suspect Told;
   Told.m_Crashes = {{"a", 1, Start + 300ms}, {"b", 1, Start + 5s}};
   Test.m_Now = Start + 6s;
-  CHECK(mergeSuspect(Test.m_State, Test.m_Policy, Deadly, Told, Test.m_Now));
+  CHECK(mergeSuspect(Test.m_State, Test.m_Policy, Crashing, Told, Test.m_Now));
   CHECK_FALSE(
-      mergeSuspect(Test.m_State, Test.m_Policy, Deadly, Told, Test.m_Now));
-  CHECK_FALSE(Test.isQuarantined(Deadly));
+      mergeSuspect(Test.m_State, Test.m_Policy, Crashing, Told, Test.m_Now));
+  CHECK_FALSE(Test.isQuarantined(Crashing));
   // A server without another incarnation may crash again later.
-  Test.crash("a", {Deadly});
-  CHECK(Test.isQuarantined(Deadly));
+  Test.crash("a", {Crashing});
+  CHECK(Test.isQuarantined(Crashing));
 }
 
-// Guards against innocent requests that are blamed for the company they keep.
+// Guards against proper requests that are quarantined because they were in
+// progress beside one that crashes servers.
 TEST_CASE("a crash is attributed to the request that was in progress at most") {
   Fixture Test;
-  Test.crash("a", {Deadly});
+  Test.crash("a", {Crashing});
   for (const char *Id : {"b", "c", "d"})
-    Test.crash(Id, {Deadly, Innocent});
-  CHECK(Test.isQuarantined(Deadly));
-  CHECK_FALSE(Test.isQuarantined(Innocent));
+    Test.crash(Id, {Crashing, Proper});
+  CHECK(Test.isQuarantined(Crashing));
+  CHECK_FALSE(Test.isQuarantined(Proper));
 }
 
 TEST_CASE("a completed request is no suspect, also if old crashes are told") {
   Fixture Test;
   for (const char *Id : {"a", "b"})
-    Test.crash(Id, {Innocent});
-  Suspect Told = Test.m_State.m_Suspects[Innocent];
-  CHECK(clearSuspect(Test.m_State, Innocent, Test.m_Now));
-  CHECK_FALSE(clearSuspect(Test.m_State, Innocent, Test.m_Now));
-  CHECK_FALSE(clearSuspect(Test.m_State, Deadly, Test.m_Now));
-  CHECK_FALSE(isSuspect(Test.m_State, Innocent));
+    Test.crash(Id, {Proper});
+  Suspect Told = Test.m_State.m_Suspects[Proper];
+  CHECK(clearSuspect(Test.m_State, Proper, Test.m_Now));
+  CHECK_FALSE(clearSuspect(Test.m_State, Proper, Test.m_Now));
+  CHECK_FALSE(clearSuspect(Test.m_State, Crashing, Test.m_Now));
+  CHECK_FALSE(isSuspect(Test.m_State, Proper));
   CHECK_FALSE(
-      mergeSuspect(Test.m_State, Test.m_Policy, Innocent, Told, Test.m_Now));
+      mergeSuspect(Test.m_State, Test.m_Policy, Proper, Told, Test.m_Now));
   Test.m_Now += 1s;
-  Test.crash("c", {Innocent});
-  CHECK_FALSE(Test.isQuarantined(Innocent));
+  Test.crash("c", {Proper});
+  CHECK_FALSE(Test.isQuarantined(Proper));
   // Another VM that saw it completed clears it here.
   Told.m_ClearedAt = Test.m_Now;
-  CHECK(mergeSuspect(Test.m_State, Test.m_Policy, Innocent, Told, Test.m_Now));
-  CHECK_FALSE(isSuspect(Test.m_State, Innocent));
+  CHECK(mergeSuspect(Test.m_State, Test.m_Policy, Proper, Told, Test.m_Now));
+  CHECK_FALSE(isSuspect(Test.m_State, Proper));
 }
 
 TEST_CASE("a quarantine ends, and one further crash begins the next") {
   Fixture Test;
   for (const char *Id : {"a", "b", "c"})
-    Test.crash(Id, {Deadly});
+    Test.crash(Id, {Crashing});
   Test.m_Now += Test.m_Policy.m_QuarantineTime;
   expireSuspects(Test.m_State, Test.m_Policy, Test.m_Now);
-  CHECK_FALSE(Test.isQuarantined(Deadly));
-  Test.crash("d", {Deadly});
-  CHECK(Test.isQuarantined(Deadly));
+  CHECK_FALSE(Test.isQuarantined(Crashing));
+  Test.crash("d", {Crashing});
+  CHECK(Test.isQuarantined(Crashing));
   Test.m_Now += Test.m_Policy.m_SuspectRetention;
   expireSuspects(Test.m_State, Test.m_Policy, Test.m_Now);
   CHECK(Test.m_State.m_Suspects.empty());
@@ -196,7 +197,7 @@
 TEST_CASE("memory for suspects is bounded, and the worst are kept") {
   Fixture Test;
   for (const char *Id : {"a", "b", "c"})
-    Test.crash(Id, {Deadly});
+    Test.crash(Id, {Crashing});
   for (RequestFingerprint Request = 10; Request < 5000; ++Request) {
     Suspect Told;
     Told.m_Crashes = {{"x" + std::to_string(Request), 1, Test.m_Now}};
@@ -205,11 +206,11 @@
   }
   CHECK(Test.m_State.m_Suspects.size() <= Test.m_Policy.m_MaxSuspects);
   CHECK(Test.m_State.m_CutOff.size() <= 1024);
-  CHECK(Test.isQuarantined(Deadly));
+  CHECK(Test.isQuarantined(Crashing));
   for (int I = 0; I < 100; ++I) {
     Suspect Told;
     Told.m_Crashes = {{"z" + std::to_string(I), 1, Test.m_Now}};
-    mergeSuspect(Test.m_State, Test.m_Policy, Deadly, Told, Test.m_Now);
+    mergeSuspect(Test.m_State, Test.m_Policy, Crashing, Told, Test.m_Now);
   }
-  CHECK(Test.m_State.m_Suspects[Deadly].m_Crashes.size() <= 8);
+  CHECK(Test.m_State.m_Suspects[Crashing].m_Crashes.size() <= 8);
 }
