--- a/libs/dispatch/include/hyssopcross/dispatch/CrashSuspects.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/CrashSuspects.h
@@ -26,7 +26,7 @@
 
 /// What is known of a request that was in progress when servers crashed.
 struct Suspect {
-  /// In order of discovery, each crash once.
+  /// Each crash once, the one that was reported last at the end.
   std::vector<Crash> m_Crashes;
   /// When a server last completed the request; crashes before do not count.
   TimePoint m_ClearedAt{};
@@ -70,7 +70,7 @@
                   TimePoint Now);
 
 /// Whether a request was in progress at a crash since it was last completed.
-/// It is sent to one server at a time.
+/// Callers of this function neither hedge nor repeat such a request.
 bool isSuspect(const CrashSuspects &State, RequestFingerprint Request);
 
 /// Until when a request is not sent to any server because it has crashed too
--- a/libs/dispatch/src/CrashSuspects.cpp
+++ b/libs/dispatch/src/CrashSuspects.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Crashes of one incarnation that are reported further apart are two: a server
-/// may start again without showing it, which takes seconds.
+/// Crashes of one incarnation that are reported further apart count as two. A
+/// restarted server may keep its id and incarnation; a restart takes seconds.
 constexpr Duration SameCrashTime = std::chrono::seconds(1);
 /// Crashes kept for one request; more do not change any decision.
 constexpr size_t MaxCrashes = 8;
--- a/libs/gateway/src/FleetMessenger.cpp
+++ b/libs/gateway/src/FleetMessenger.cpp
@@ -146,8 +146,7 @@
     }
   }
   addNotices(Reply);
-  // A few of these exist, and those that have been completed since tell nothing
-  // to a VM that has just started.
+  // Completed requests are left out: the receiver has no crashes to clear.
   for (const auto &[Request, Each] : m_State.m_Suspects.m_Suspects)
     if (!Each.m_Crashes.empty() && Reply.m_Suspects.size() < MaxToldSuspects)
       Reply.m_Suspects.push_back(reportOf(Request, Each, m_State.now()));
