Answer an upload without a key like other uploads that are not taken

The handler now uses the function by which all other uploads are answered that nobody took. It said a time to return for all but a changed body; it now says none for a missing key either, so callers get the same answer as before.

Ruled out: turning the warning off in sanitizer builds, which would hide real findings. Before: the file does not compile with -O1 and the sanitizers on arm64. After: it does; uploads_tests pass.

--- a/libs/uploads/src/Uploads.cpp
+++ b/libs/uploads/src/Uploads.cpp
@@ -38,9 +38,7 @@
   Upload &New = State.m_Uploads[Event.m_Call];
   New.m_Arrival = Event;
   if (!isUsableKey(Event.m_Head.m_Key, State.m_Policy.m_KeyBytes)) {
-    Answer Said;
-    Said.m_Kind = AnswerKind::NoKey;
-    answer(Ctx, New, std::move(Said));
+    answerNotTaken(Ctx, New, AnswerKind::NoKey);
     return;
   }
   Duration Left = Event.m_Deadline - Ctx.m_Now.m_Wall;
@@ -260,7 +258,9 @@
       !Of.m_MayHaveRun && !Of.m_MayBeHeld && !Of.m_SendOpen && !RowOpen;
   Answer Said;
   Said.m_Kind = Certain ? NotRunKind : AnswerKind::Unresolved;
-  if (Said.m_Kind != AnswerKind::OtherUpload)
+  bool IsFinal = Said.m_Kind == AnswerKind::NoKey ||
+                 Said.m_Kind == AnswerKind::OtherUpload;
+  if (!IsFinal)
     Said.m_RetryAfter = std::max(Of.m_RetryAfter, retryAfter(Ctx.m_State));
   answer(Ctx, Of, std::move(Said));
 }
