Take only a closed port or a restart for the end of a server

What callers saw: 503 with a time to return of ten minutes, why=crashes_servers, for a request whose server had lost its connection and stalled, three times.

Cause: two checks that are not answered in time make a server unreachable, and an unreachable server whose connection closed counted as crashed. A machine that stalls, or a server that resets connections while it is full, shows the same. Class: a missing answer is taken for a statement.

Why it works: a host on which the server no longer runs refuses the connection. Checks note that, and reports to other VMs say so in an optional field; a report of an older build never confirms a crash. A server that loses power closes no connection, so it was no evidence before either.

Elsewhere: choice and repeats use unreachable servers only to avoid them, which is right for stalled ones too. Requests in progress at a server that has ended under its own id and start are told by the closed port, else by the new start.

--- a/libs/dispatch/include/hyssopcross/dispatch/CrashSuspects.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/CrashSuspects.h
@@ -51,7 +51,7 @@
                   const CutOffAttempt &Seen);
 
 /// Decides which of the recorded attempts were in progress at a crash: the
-/// server is unreachable or has started again. Returns their requests, each
+/// server has ended or has started again. Returns their requests, each
 /// once. Attempts whose server is still there after m_CrashConfirmTime, or was
 /// leaving, are dropped. Called several times a second.
 std::vector<RequestFingerprint> confirmCrashes(CrashSuspects &State,
--- a/libs/dispatch/include/hyssopcross/dispatch/Policy.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Policy.h
@@ -100,7 +100,7 @@
   /// Number of crashed servers from which a request that was in progress at all
   /// of them is not sent to any more.
   uint32_t m_CrashesUntilQuarantine = 3;
-  /// Time within which a server whose connections closed is found unreachable
+  /// Time within which a server whose connections closed is found to have ended
   /// if it has crashed.
   Duration m_CrashConfirmTime = std::chrono::seconds(2);
   /// How long a request is not sent after its last crash, and how long crashes
--- a/libs/dispatch/include/hyssopcross/dispatch/Servers.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Servers.h
@@ -41,6 +41,9 @@
 struct LoadReport {
   enum class Health { Healthy, Unhealthy, Unreachable };
   Health m_Health = Health::Healthy;
+  /// Of an unreachable server: its host refuses connections, so the server has
+  /// ended. Otherwise its checks are not answered in time.
+  bool m_HasEnded = false;
   uint32_t m_Running = 0;
   uint32_t m_Waiting = 0;
   /// Current service time on its machine relative to normal, in percent.
--- a/libs/dispatch/src/CrashSuspects.cpp
+++ b/libs/dispatch/src/CrashSuspects.cpp
@@ -83,9 +83,8 @@
   if (isDraining(Target))
     return CrashEvidence::StillThere;
   bool HasRestarted = Target.m_Record.m_Incarnation != Possible.m_Incarnation;
-  bool IsGone = Target.m_Report.m_Health == LoadReport::Health::Unreachable;
-  return HasRestarted || IsGone ? CrashEvidence::Crashed
-                                : CrashEvidence::Unknown;
+  return HasRestarted || Target.m_Report.m_HasEnded ? CrashEvidence::Crashed
+                                                    : CrashEvidence::Unknown;
 }
 
 /// Whether another request was in progress at a crash that was in progress at
--- a/libs/dispatch/src/Servers.cpp
+++ b/libs/dispatch/src/Servers.cpp
@@ -241,6 +241,7 @@
                              const DispatchPolicy &Policy, TimePoint Now) {
   if (!Policy.m_TellChangesOnly || Published.m_At == TimePoint{} ||
       Published.m_Report.m_Health != Found.m_Health ||
+      Published.m_Report.m_HasEnded != Found.m_HasEnded ||
       Found.m_ColdFor > Duration(0) ||
       Published.m_Report.m_ColdFor > Duration(0))
     return CheckResult::Change;
--- a/libs/fleet/fleet.thrift
+++ b/libs/fleet/fleet.thrift
@@ -66,6 +66,8 @@
   7: optional i64 leavingIncarnation,
   // Period in which the sender reports a change of speed immediately.
   8: optional i16 holdsMillis,
+  // Set if the server is unreachable because nothing listens at its address.
+  9: optional bool ended,
 }
 
 // Number of requests that the sender has in flight at a backend server.
--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -57,6 +57,8 @@
       From.m_Load.m_ColdFor);
   if (Cold.count() > 0)
     Output.__set_coldMillis(static_cast<int32_t>(Cold.count()));
+  if (From.m_Load.m_HasEnded)
+    Output.__set_ended(true);
   if (From.m_LeavingIncarnation)
     Output.__set_leavingIncarnation(*From.m_LeavingIncarnation);
   if (From.m_ValidFor > Duration(0))
@@ -68,8 +70,11 @@
 ServerReport fromWire(const wire::Report &From) {
   ServerReport Output;
   Output.m_Server = static_cast<uint32_t>(From.server);
-  Output.m_Load.m_Health = static_cast<dispatch::LoadReport::Health>(
-      std::clamp<int8_t>(From.health, 0, 2));
+  using Health = dispatch::LoadReport::Health;
+  Output.m_Load.m_Health =
+      static_cast<Health>(std::clamp<int8_t>(From.health, 0, 2));
+  Output.m_Load.m_HasEnded =
+      From.ended && Output.m_Load.m_Health == Health::Unreachable;
   Output.m_Load.m_Running =
       static_cast<uint32_t>(std::max<int16_t>(0, From.running));
   Output.m_Load.m_Waiting =
--- a/libs/gateway/src/HealthChecker.cpp
+++ b/libs/gateway/src/HealthChecker.cpp
@@ -137,7 +137,7 @@
   for (const std::string &Id : Late) {
     m_Checks[Id].m_Call->cancel();
     m_Checks[Id].m_Call.reset();
-    missed(Id, "timeout");
+    missed(Id, "timeout", false);
   }
   m_Timer.expires_after(m_State.m_Settings.m_HealthInterval);
   m_Timer.async_wait([this](const error_code &Ended) {
@@ -176,11 +176,12 @@
     return;
   Mine->second.m_Call.reset();
   if (Result.m_End != http::ExchangeEnd::Answered)
-    return missed(Id, http::exchangeEndName(Result.m_End));
+    return missed(Id, http::exchangeEndName(Result.m_End),
+                  Result.m_ConnectionRefused);
   std::string Answered =
       m_State.m_PlatformCodec.m_DecodeServerId(Result.m_Answer);
   if (!Answered.empty() && Answered != Id)
-    return missed(Id, "other_server");
+    return missed(Id, "other_server", false);
   NoticeChanges Changes = noteServerNotices(
       m_State, {Id, Incarnation, Result.m_Answer, true,
                 Result.m_Answer.result_int() == 200, Mine->second.m_StartedAt});
@@ -199,7 +200,8 @@
   report(Found->second, Mine->second, Report, Changes);
 }
 
-void HealthChecker::missed(const std::string &Id, const char *Why) {
+void HealthChecker::missed(const std::string &Id, const char *Why,
+                           bool HasEnded) {
   auto Found = m_State.m_Servers.m_Servers.find(Id);
   if (Found == m_State.m_Servers.m_Servers.end())
     return;
@@ -213,9 +215,11 @@
     logEvent(LogLevel::Warning, "server_unreachable",
              {{"server", Id},
               {"address", Found->second.m_Record.m_Address.toString()},
-              {"why", Why}});
+              {"why", Why},
+              {"ended", HasEnded}});
   dispatch::LoadReport Report;
   Report.m_Health = dispatch::LoadReport::Health::Unreachable;
+  Report.m_HasEnded = HasEnded;
   report(Found->second, Mine, Report, {});
 }
 
@@ -224,12 +228,14 @@
                            const NoticeChanges &Changes) {
   bool Changed =
       Of.m_Report.m_Health != Report.m_Health ||
+      Of.m_Report.m_HasEnded != Report.m_HasEnded ||
       (Report.m_ColdFor > Duration(0)) != (Of.m_Report.m_ColdFor > Duration(0));
   noteReport(m_State, Of, Report);
   if (Changed)
     logEvent(LogLevel::Info, "server_health",
              {{"server", Of.m_Record.m_Id},
               {"health", static_cast<int>(Report.m_Health)},
+              {"ended", Report.m_HasEnded},
               {"cold_ms", toMillis(Report.m_ColdFor)},
               {"slowdown_pct", Report.m_SlowdownPercent}});
   // A cold server is used by one VM, which is not necessarily among its users
--- a/libs/gateway/src/HealthChecker.h
+++ b/libs/gateway/src/HealthChecker.h
@@ -63,7 +63,8 @@
              const routing::ServiceSettings &Service);
   void ended(const std::string &Id, int64_t Incarnation,
              const http::ExchangeResult &Result);
-  void missed(const std::string &Id, const char *Why);
+  /// HasEnded: the check showed that the server has ended.
+  void missed(const std::string &Id, const char *Why, bool HasEnded);
   /// Changes: what the check announced that was not known before.
   void report(dispatch::Server &Of, Check &Mine,
               const dispatch::LoadReport &Report, const NoticeChanges &Changes);
--- a/libs/http/include/hyssopcross/http/Client.h
+++ b/libs/http/include/hyssopcross/http/Client.h
@@ -36,6 +36,9 @@
   /// Of a broken exchange: the server's end closed or reset the connection, so
   /// it did not go silent.
   bool m_ClosedByServer = false;
+  /// Of an exchange that was not sent: the server's host refused the
+  /// connection, so nothing listens at the address.
+  bool m_ConnectionRefused = false;
 };
 
 struct ClientPolicy {
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -143,6 +143,7 @@
     m_Writing = false;
     m_MayBeSent = false;
     m_ClosedByServer = false;
+    m_ConnectionRefused = false;
     m_Skipped = 0;
     m_Owner->m_Active[keyOf(m_Server)].insert(this);
     if (m_Socket.is_open())
@@ -209,6 +210,7 @@
   uint64_t m_Held = 0;
   uint32_t m_Skipped = 0;
   bool m_ClosedByServer = false;
+  bool m_ConnectionRefused = false;
 };
 
 void ClientConnection::connect() {
@@ -240,6 +242,7 @@
   m_ConnectTimer.cancel();
   if (!m_Done)
     return;
+  m_ConnectionRefused = Failure == boost::asio::error::connection_refused;
   if (Failure || !m_Socket.is_open())
     return finish(ExchangeEnd::NotSent);
   exchange();
@@ -326,6 +329,7 @@
   Ended.m_End = End;
   Ended.m_Reused = m_Reused;
   Ended.m_ClosedByServer = m_ClosedByServer && End == ExchangeEnd::Broken;
+  Ended.m_ConnectionRefused = m_ConnectionRefused;
   bool KeepAlive = false;
   if (End == ExchangeEnd::Answered) {
     KeepAlive = m_Parser->keep_alive() && !m_Parser->need_eof();
--- a/libs/http/tests/ClientTest.cpp
+++ b/libs/http/tests/ClientTest.cpp
@@ -303,4 +303,5 @@
       [&](ExchangeResult Ended) { Result = std::move(Ended); });
   REQUIRE(runUntil(Test.m_Loop, [&] { return Result.has_value(); }));
   CHECK(Result->m_End == ExchangeEnd::NotSent);
+  CHECK(Result->m_ConnectionRefused);
 }
