Fault soak: the store returns from an older copy of its contents

Once or twice a round, overlapping the other faults, the store goes away for up to a second and returns with a copy up to 3 s old in its next era; the operator and the servers write again what is lost up to 1.5 s later. Watches that wait end, or go on waiting for versions of the former era. No VM may go back to an older configuration in the meantime, and in the calm end of the round all must serve the newest one.

--- a/libs/faultsoak/include/hyssopcross/faultsoak/Soak.h
+++ b/libs/faultsoak/include/hyssopcross/faultsoak/Soak.h
@@ -74,6 +74,15 @@
   void limitServer();
   /// Holds an arrival against the limit that its server names.
   void countLimited(Backend &At);
+  /// Lets the store return from an older copy of its contents in this round,
+  /// once or twice.
+  void scheduleReturns();
+  void returnFromCopy(const test::FakeStore::Copy &Older, Duration Away);
+  /// Writes again what the store has lost, in the state of now.
+  void writeAgain();
+  /// Checks that a VM that handles requests as the newest configuration says
+  /// does not go back to the one before.
+  void checkNoReversion(Vm &Of);
   void checkCalm();
 
   std::string hostIn(uint32_t Net, uint32_t Index) const;
@@ -86,6 +95,7 @@
   gateway::PlatformCodec m_Speech;
   std::mt19937 m_Random;
   std::mt19937 m_LimitRandom;
+  std::mt19937 m_ReturnRandom;
   test::FakeStore m_Store;
   http::Client m_Client;
   Promises m_Promises;
--- a/libs/faultsoak/src/Soak.cpp
+++ b/libs/faultsoak/src/Soak.cpp
@@ -44,6 +44,13 @@
 /// Separates the draws of limits from those of faults, which seeds that failed
 /// depend on.
 constexpr uint32_t LimitSeed = 0x4c494d;
+/// The same for returns of the store from older copies.
+constexpr uint32_t ReturnSeed = 0x455241;
+/// Age of the copy, time for which the store is away, and time until what it
+/// has lost is written again.
+constexpr Duration MaxCopyAge = 3s;
+constexpr Duration MaxAwayTime = 1s;
+constexpr Duration MaxWriteAgainTime = 1500ms;
 /// From SIGTERM to the end of a process, and what a busy machine may add.
 constexpr auto StopGrace = std::chrono::seconds(2);
 constexpr Duration StopSlack = 1s;
@@ -65,6 +72,8 @@
   std::unique_ptr<Proxy> m_Callers;
   std::unique_ptr<Proxy> m_Store;
   bool m_IsPaused = false;
+  /// Number of starts of the process after the first one.
+  uint32_t m_Restarts = 0;
   /// Was told to end, or was killed, by this run.
   bool m_MayEnd = false;
   TimePoint m_StopAt{};
@@ -75,6 +84,7 @@
   std::unique_ptr<test::FakeServer> m_Server;
   std::unique_ptr<Proxy> m_Link;
   TimePoint m_LeavingAt{};
+  bool m_IsRegistered = true;
   /// Requests per second that it names in its answers; zero for none.
   double m_Limit = 0;
   TimePoint m_LimitedSince{};
@@ -109,7 +119,8 @@
 Soak::Soak(SoakSettings Given)
     : m_Settings(std::move(Given)), m_Speech(adapter::makeDialect()),
       m_Random(m_Settings.m_Seed), m_LimitRandom(m_Settings.m_Seed ^ LimitSeed),
-      m_Store(m_Loop, m_Clock), m_Client(m_Loop, m_Clock, {}) {}
+      m_ReturnRandom(m_Settings.m_Seed ^ ReturnSeed), m_Store(m_Loop, m_Clock),
+      m_Client(m_Loop, m_Clock, {}) {}
 
 Soak::~Soak() = default;
 
@@ -404,6 +415,7 @@
     Of.m_WillRestart = false;
     Of.m_MayEnd = false;
     Of.m_IsPaused = false;
+    ++Of.m_Restarts;
     disturb(0s);
     auto Started = Of.m_Process.start();
     if (!Started)
@@ -465,10 +477,85 @@
   m_Store.put("servers", Leaving.m_Server->m_Id,
               test::serverDocument(*Leaving.m_Server, "draining"));
   later(DrainBound + 1500ms, [this, &Leaving] {
+    Leaving.m_IsRegistered = false;
     m_Store.remove("servers", Leaving.m_Server->m_Id);
   });
 }
 
+void Soak::scheduleReturns() {
+  auto Draw = [this](Duration Most) {
+    return Duration(std::uniform_int_distribution<int64_t>(0, Most.count())(
+        m_ReturnRandom));
+  };
+  uint32_t Returns = 1 + m_ReturnRandom() % 2;
+  for (uint32_t I = 0; I < Returns; ++I) {
+    Duration CopyAfter = Draw(FaultTime - MaxCopyAge - MaxAwayTime);
+    Duration Age = Draw(MaxCopyAge);
+    Duration Away = Draw(MaxAwayTime);
+    later(CopyAfter, [this, Age, Away] {
+      later(Age, [this, Away, Older = m_Store.copy()] {
+        returnFromCopy(Older, Away);
+      });
+    });
+  }
+}
+
+void Soak::returnFromCopy(const test::FakeStore::Copy &Older, Duration Away) {
+  Duration WriteAfter(std::uniform_int_distribution<int64_t>(
+      0, MaxWriteAgainTime.count())(m_ReturnRandom));
+  report("store returns from a copy", Away + WriteAfter);
+  disturb(Away + WriteAfter);
+  m_Store.m_IsDown = true;
+  bool EndsWatches = m_ReturnRandom() % 2 == 0;
+  later(Away, [this, Older, EndsWatches] {
+    m_Store.restore(Older, EndsWatches);
+    m_Store.m_IsDown = false;
+  });
+  later(Away + WriteAfter, [this] { writeAgain(); });
+  for (Duration After = Away; After < Away + ContactTime; After += 250ms)
+    later(After, [this] {
+      for (const auto &Each : m_Vms)
+        checkNoReversion(*Each);
+    });
+}
+
+void Soak::writeAgain() {
+  m_Store.put("op", "config", test::configurationDocument(m_Version, m_Prefix));
+  for (const char *Each : {"here", "there"})
+    if (m_OutDataCentre == Each)
+      m_Store.put("op", std::string("evacuate/") + Each,
+                  nlohmann::json::object());
+    else
+      m_Store.remove("op", std::string("evacuate/") + Each);
+  for (const auto &Each : m_Backends) {
+    const test::FakeServer &Server = *Each->m_Server;
+    bool IsLeaving = Each->m_LeavingAt != TimePoint{};
+    if (Each->m_IsRegistered)
+      m_Store.put(
+          "servers", Server.m_Id,
+          test::serverDocument(Server, IsLeaving ? "draining" : "ready"));
+    else
+      m_Store.remove("servers", Server.m_Id);
+  }
+}
+
+void Soak::checkNoReversion(Vm &Of) {
+  if (!Of.m_Process.isRunning() || m_OldPrefix.empty())
+    return;
+  uint32_t Incarnation = Of.m_Restarts;
+  std::string Old = m_OldPrefix + "x";
+  send(Of, m_Prefix + "x", false, true,
+       [this, &Of, Incarnation, Old](unsigned Status) {
+         if (Status != 200 || Of.m_Restarts != Incarnation)
+           return;
+         send(Of, Old, false, true, [this, &Of, Incarnation](unsigned Second) {
+           if (Second == 200 && Of.m_Restarts == Incarnation)
+             m_Promises.violate("vm-" + std::to_string(Of.m_Index) +
+                                " went back to an older configuration");
+         });
+       });
+}
+
 void Soak::injectOne(Duration Left) {
   Vm &OneVm = *m_Vms[below(m_Settings.m_Vms)];
   Backend &OneServer =
@@ -618,6 +705,7 @@
     std::printf("event=round number=%u seed=%u\n", Round + 1,
                 m_Settings.m_Seed);
     limitServer();
+    scheduleReturns();
     TimePoint End = m_Clock.now() + FaultTime;
     while (m_Clock.now() < End) {
       injectOne(End - m_Clock.now());
