Keep what VMs tell each other of suspects within what they read

What it leads to: a VM that knows of many requests that crash servers is not heard by the others any more. Its heartbeats held up to 50 suspects, and a datagram of more than 16 kB is cut by the receiver and dropped whole. A VM that starts did not learn of them either, for the same reason. Class: a list bounded by number in a message bounded by bytes.

Suspects now take 4 kB of a heartbeat and 12 kB of a datagram of their own, the worst first; news that does not fit goes into further datagrams instead of being dropped. The size is counted by an upper bound, tested against the encoding.

--- a/libs/fleet/include/hyssopcross/fleet/Datagram.h
+++ b/libs/fleet/include/hyssopcross/fleet/Datagram.h
@@ -73,6 +73,9 @@
   std::optional<Duration> m_CompletedAge;
 };
 
+/// The most bytes that a report takes in an encoded datagram.
+size_t maxEncodedSize(const SuspectReport &From);
+
 /// Rows of a followed table that one VM forwards to others.
 struct TableRows {
   uint32_t m_Table = 0;
--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -299,6 +299,16 @@
 
 } // namespace
 
+size_t maxEncodedSize(const SuspectReport &From) {
+  // Bytes of numbers and of the headers of fields and lists.
+  constexpr size_t ReportBytes = 24;
+  constexpr size_t CrashBytes = 24;
+  size_t Bytes = ReportBytes;
+  for (const ReportedCrash &Each : From.m_Crashes)
+    Bytes += CrashBytes + Each.m_Server.size();
+  return Bytes;
+}
+
 std::string encodeRows(const TableRows &Rows) { return encode(toWire(Rows)); }
 
 Result<TableRows> decodeRows(std::span<const char> Bytes) {
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -364,6 +364,24 @@
   CHECK(quotaDivisor(State) == 1);
 }
 
+TEST_CASE("a report of a suspect takes no more bytes than it is counted for") {
+  const SuspectReport Reports[] = {
+      {UINT64_MAX / 3, {}, std::nullopt},
+      {UINT64_MAX / 3, {}, 24h},
+      {UINT64_MAX / 3, {{"", INT64_MIN, 1000h}}, 1000h},
+      {1, std::vector<ReportedCrash>(8, {std::string(200, 'x'), 1, 1s}), 1s},
+      {1, std::vector<ReportedCrash>(300, {"s", INT64_MIN, 1000h}), 1s},
+  };
+  for (const SuspectReport &Each : Reports) {
+    Datagram Without;
+    Without.m_Suspects.resize(1);
+    Datagram With;
+    With.m_Suspects = {Each};
+    CHECK(encodeDatagram(With).size() <=
+          encodeDatagram(Without).size() + maxEncodedSize(Each));
+  }
+}
+
 TEST_CASE("a datagram survives encoding and decoding") {
   Datagram Sent;
   Sent.m_Sender = 0xfedcba98;
--- a/libs/gateway/src/FleetMessenger.cpp
+++ b/libs/gateway/src/FleetMessenger.cpp
@@ -21,8 +21,9 @@
 constexpr Duration SuspectRepeatTime = std::chrono::seconds(3);
 /// Notices of servers in the reply to a greeting, some 30 bytes each.
 constexpr size_t MaxGreetingNotices = 200;
-/// Suspects in one datagram, some 100 bytes each.
-constexpr size_t MaxToldSuspects = 50;
+/// Largest size of the suspects in a datagram of their own, and in a heartbeat.
+constexpr size_t MaxSuspectBytes = 12288;
+constexpr size_t MaxHeartbeatSuspectBytes = 4096;
 
 fleet::ServerReport reportOf(const dispatch::Server &Of) {
   fleet::ServerReport Made{Of.m_Key, Of.m_Report, std::nullopt};
@@ -50,6 +51,35 @@
   return Made;
 }
 
+/// Reports of suspects, those with the most crashes last.
+std::vector<fleet::SuspectReport>
+reportsOf(const std::map<dispatch::RequestFingerprint, dispatch::Suspect> &Of,
+          TimePoint Now) {
+  std::vector<fleet::SuspectReport> Made;
+  for (const auto &[Request, Each] : Of)
+    Made.push_back(reportOf(Request, Each, Now));
+  std::stable_sort(Made.begin(), Made.end(), [](const auto &A, const auto &B) {
+    return A.m_Crashes.size() < B.m_Crashes.size();
+  });
+  return Made;
+}
+
+/// Moves reports from the end of a list into a message while they fit into a
+/// number of bytes. Drops one that does not fit by itself.
+void takeSuspects(std::vector<fleet::SuspectReport> &From, size_t MaxBytes,
+                  fleet::Datagram &To) {
+  size_t Bytes = 0;
+  for (; !From.empty(); From.pop_back()) {
+    size_t Added = fleet::maxEncodedSize(From.back());
+    if (Added > MaxBytes)
+      continue;
+    if (Bytes + Added > MaxBytes)
+      return;
+    Bytes += Added;
+    To.m_Suspects.push_back(std::move(From.back()));
+  }
+}
+
 /// Adds the request limit of a server, or that it was lifted, to a message.
 void addLimit(fleet::Datagram &To, const dispatch::Server &Of, TimePoint Now) {
   if (const dispatch::RequestLimit *Limit = dispatch::limitOf(Of))
@@ -146,11 +176,15 @@
     }
   }
   addNotices(Reply);
-  // Completed requests are left out: the receiver has no crashes to clear.
-  for (const auto &[Request, Each] : m_State.m_Suspects.m_Suspects)
-    if (!Each.m_Crashes.empty() && Reply.m_Suspects.size() < MaxToldSuspects)
-      Reply.m_Suspects.push_back(reportOf(Request, Each, m_State.now()));
   send(fleet::encodeDatagram(Reply), From.m_Host);
+  fleet::Datagram News = newDatagram();
+  auto Suspects = reportsOf(m_State.m_Suspects.m_Suspects, m_State.now());
+  // The receiver has no crashes that a completed request could clear.
+  std::erase_if(Suspects,
+                [](const auto &Each) { return Each.m_Crashes.empty(); });
+  takeSuspects(Suspects, MaxSuspectBytes, News);
+  if (!News.m_Suspects.empty())
+    send(fleet::encodeDatagram(News), From.m_Host);
 }
 
 void FleetMessenger::addNotices(fleet::Datagram &To) const {
@@ -203,10 +237,11 @@
     if (fleet::ServerInFlight Told = inFlightOf(Of);
         Told.m_Count > 0 || Told.m_LimitedSends > 0)
       Beat.m_InFlight.push_back(Told);
-  for (const auto &[Request, Each] : dispatch::suspectsSince(
-           m_State.m_Suspects, m_State.now() - SuspectRepeatTime))
-    if (Beat.m_Suspects.size() < MaxToldSuspects)
-      Beat.m_Suspects.push_back(reportOf(Request, Each, m_State.now()));
+  auto Suspects =
+      reportsOf(dispatch::suspectsSince(m_State.m_Suspects,
+                                        m_State.now() - SuspectRepeatTime),
+                m_State.now());
+  takeSuspects(Suspects, MaxHeartbeatSuspectBytes, Beat);
   const fleet::FleetPolicy &Policy = m_State.m_Settings.m_FleetPolicy;
   size_t Named = isNew() ? Policy.m_BootstrapGossipHosts : Policy.m_GossipHosts;
   std::string_view DataCentre;
@@ -603,14 +638,14 @@
     News.m_Leaving = std::exchange(m_PendingLeaving, {});
     sendToAll(fleet::encodeDatagram(News));
   }
-  if (!m_PendingSuspects.empty()) {
+  std::vector<fleet::SuspectReport> Suspects;
+  for (dispatch::RequestFingerprint Each : std::exchange(m_PendingSuspects, {}))
+    if (auto Known = m_State.m_Suspects.m_Suspects.find(Each);
+        Known != m_State.m_Suspects.m_Suspects.end())
+      Suspects.push_back(reportOf(Each, Known->second, m_State.now()));
+  while (!Suspects.empty()) {
     fleet::Datagram News = newDatagram();
-    for (dispatch::RequestFingerprint Each :
-         std::exchange(m_PendingSuspects, {}))
-      if (auto Known = m_State.m_Suspects.m_Suspects.find(Each);
-          Known != m_State.m_Suspects.m_Suspects.end() &&
-          News.m_Suspects.size() < MaxToldSuspects)
-        News.m_Suspects.push_back(reportOf(Each, Known->second, m_State.now()));
+    takeSuspects(Suspects, MaxSuspectBytes, News);
     sendToAll(fleet::encodeDatagram(News));
   }
   // Group servers used by the same VMs into one datagram.
