Wait until the server of messages between VMs listens

hyssopcrossd: a process that was stopped right after its start never ended, and other VMs were refused for a moment after it had said that it listens. The server listens in its own thread; a stop before that is lost, and the destructor waits for the thread for ever.

Found while testing messages of other VMs: the first run of such a test was refused its connection and then hung for ten minutes in the destructor. Class: a thread that is taken for running as soon as it is created.

start() now returns once the server listens. "a server can be reached and stopped as soon as it has started" passes; before, the connection was refused and the test did not end.

--- a/libs/peer/include/hyssopcross/peer/PeerServer.h
+++ b/libs/peer/include/hyssopcross/peer/PeerServer.h
@@ -13,7 +13,7 @@
 /// for handlers that still run.
 class PeerServer {
 public:
-  /// Starts to listen. The handler is called from many threads at once. Fails
+  /// Returns once the server listens. The handler is called from many threads at once. Fails
   /// if the address can't be bound.
   static Result<std::unique_ptr<PeerServer>>
   start(const Address &Listen, std::shared_ptr<wire::PeerIf> Handler);
--- a/libs/peer/src/PeerServer.cpp
+++ b/libs/peer/src/PeerServer.cpp
@@ -1,4 +1,5 @@
 #include "hyssopcross/peer/PeerServer.h"
+#include <future>
 #include <thread>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TThreadedServer.h>
@@ -7,6 +8,21 @@
 
 namespace hyssopcross::peer {
 
+namespace {
+
+/// Tells when the server listens.
+class ListeningSignal final
+    : public apache::thrift::server::TServerEventHandler {
+public:
+  void preServe() override { m_Listening.set_value(); }
+  void wait() { m_Listening.get_future().wait(); }
+
+private:
+  std::promise<void> m_Listening;
+};
+
+} // namespace
+
 using apache::thrift::protocol::TCompactProtocolFactory;
 using apache::thrift::server::TThreadedServer;
 using apache::thrift::transport::TBufferedTransportFactory;
@@ -41,8 +57,12 @@
       std::make_shared<wire::PeerProcessor>(std::move(Handler)),
       State->m_Socket, std::make_shared<TBufferedTransportFactory>(),
       std::make_shared<TCompactProtocolFactory>());
+  auto Signal = std::make_shared<ListeningSignal>();
+  State->m_Server->setServerEventHandler(Signal);
   TThreadedServer *Server = State->m_Server.get();
   State->m_Thread = std::thread([Server] { Server->serve(); });
+  // A server that is stopped before it listens would never end.
+  Signal->wait();
   return std::unique_ptr<PeerServer>(new PeerServer(std::move(State)));
 }
 
