Let no list in a message between VMs claim more entries than a fleet has

hyssopcrossd: a few bytes that claim a list of 50 million entries make the receiver take memory for all of them before it reads the first: 305 MB 0.3 s later, and rising.

The protocol of servers and clients now bounds lists to 16,384 entries and texts to 16 MB; a message beyond that ends its connection. PeerServerTest: more than 64 MB before (117 and 305 MB), less now; 5,000 entries are still read.

--- a/libs/peer/src/PeerClients.cpp
+++ b/libs/peer/src/PeerClients.cpp
@@ -1,4 +1,5 @@
 #include "hyssopcross/peer/PeerClients.h"
+#include "Limits.h"
 #include "hyssopcross/base/Settings.h"
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -30,7 +31,8 @@
   explicit Connection(const Address &Peer)
       : m_Socket(std::make_shared<TSocket>(Peer.m_Host, Peer.m_Port)),
         m_Transport(std::make_shared<TBufferedTransport>(m_Socket)),
-        m_Client(std::make_shared<TCompactProtocol>(m_Transport)) {
+        m_Client(std::make_shared<TCompactProtocol>(m_Transport, MaxTextBytes,
+                                                    MaxListEntries)) {
     m_Socket->setConnTimeout(ConnectTimeoutMilliseconds);
     m_Socket->setNoDelay(true);
   }
--- a/libs/peer/src/PeerServer.cpp
+++ b/libs/peer/src/PeerServer.cpp
@@ -1,4 +1,5 @@
 #include "hyssopcross/peer/PeerServer.h"
+#include "Limits.h"
 #include <future>
 #include <thread>
 #include <thrift/protocol/TCompactProtocol.h>
@@ -56,7 +57,7 @@
   State->m_Server = std::make_unique<TThreadedServer>(
       std::make_shared<wire::PeerProcessor>(std::move(Handler)),
       State->m_Socket, std::make_shared<TBufferedTransportFactory>(),
-      std::make_shared<TCompactProtocolFactory>());
+      std::make_shared<TCompactProtocolFactory>(MaxTextBytes, MaxListEntries));
   auto Signal = std::make_shared<ListeningSignal>();
   State->m_Server->setServerEventHandler(Signal);
   TThreadedServer *Server = State->m_Server.get();
