Refuse negative counts in messages between VMs of hyssopcrossd

A negative version, epoch, incarnation or counter in a message of another VM was cast to an unsigned number and counted as newer than all others: a VM that says it once is followed for ever, or owns a pool for ever. A negative limit or number of free slots became four billion.

Messages with such counts are logged (peer_message_malformed) and dropped.

--- a/libs/entry/src/PeerHandler.cpp
+++ b/libs/entry/src/PeerHandler.cpp
@@ -43,6 +43,8 @@
 
 void PeerHandler::announceCatalogue(const std::string &Sender,
                                     int64_t Version) {
+  if (auto Checked = checkCounts({Version}); !Checked)
+    return logMalformed("catalogue_version", Checked.error());
   m_Control.receiveVersion(Sender, static_cast<uint64_t>(Version));
 }
 
@@ -54,8 +56,12 @@
 
 void PeerHandler::poolDigests(
     const std::vector<peer::wire::PoolDigest> &Digests) {
-  for (const peer::wire::PoolDigest &Each : Digests)
-    m_Control.receiveDigest(fromWire(Each.pool), fromWire(Each.servers));
+  for (const peer::wire::PoolDigest &Each : Digests) {
+    auto Servers = fromWire(Each.servers);
+    if (!Servers)
+      return logMalformed("pool_digest", Servers.error());
+    m_Control.receiveDigest(fromWire(Each.pool), std::move(Servers.value()));
+  }
 }
 
 void PeerHandler::queueing(const peer::wire::Pool &Pool, bool IsQueueing) {
@@ -64,6 +70,8 @@
 
 void PeerHandler::askPull(const peer::wire::Pool &Origin,
                           const peer::wire::Pool &Target, int32_t FreeSlots) {
+  if (auto Checked = checkCounts({FreeSlots}); !Checked)
+    return logMalformed("pull", Checked.error());
   m_Control.receivePull(fromWire(Origin), fromWire(Target),
                         static_cast<uint32_t>(FreeSlots));
 }
--- a/libs/entry/src/WireCodec.h
+++ b/libs/entry/src/WireCodec.h
@@ -10,14 +10,19 @@
 namespace hyssopcross::entry {
 
 // Translation between the slices' messages and their form on the wire. Reading
-// fails with Protocol on values outside their enumerations.
+// fails with Protocol on values outside their enumerations and on counts that
+// are negative: a negative version, epoch or incarnation would turn into one
+// that counts as newer than all others.
+
+/// Fails with Protocol if a count is negative.
+Result<void> checkCounts(std::initializer_list<int64_t> Counts);
 
 peer::wire::Pool toWire(const balancing::PoolId &Pool);
 balancing::PoolId fromWire(const peer::wire::Pool &Pool);
 
 std::vector<peer::wire::ServerDigest>
 toWire(const std::vector<balancing::ServerDigest> &Digest);
-std::vector<balancing::ServerDigest>
+Result<std::vector<balancing::ServerDigest>>
 fromWire(const std::vector<peer::wire::ServerDigest> &Servers);
 
 peer::wire::Heartbeat toWire(const HeartbeatBundle &Bundle);
--- a/libs/entry/src/WireControl.cpp
+++ b/libs/entry/src/WireControl.cpp
@@ -65,18 +65,27 @@
 }
 
 Result<membership::Heartbeat> readHeartbeat(const wire::Heartbeat &Message) {
+  if (auto Checked = checkCounts({Message.sender.incarnation, Message.counter});
+      !Checked)
+    return fail(Checked.error().m_Code, Checked.error().m_Message);
   membership::Heartbeat Heartbeat;
   Heartbeat.m_From = fromWire(Message.sender);
   Heartbeat.m_Counter = static_cast<uint64_t>(Message.counter);
   Heartbeat.m_Leaving = Message.leaving;
   Heartbeat.m_ViewHash = static_cast<uint64_t>(Message.viewHash);
-  for (const wire::Beat &Each : Message.beats)
+  for (const wire::Beat &Each : Message.beats) {
+    if (auto Checked = checkCounts({Each.beat}); !Checked)
+      return fail(Checked.error().m_Code, Checked.error().m_Message);
     Heartbeat.m_Beats.push_back(
         {Each.dataCentre, static_cast<uint64_t>(Each.beat)});
+  }
   for (const wire::VmEntry &Each : Message.entries) {
     auto Status = readEnum(Each.status, membership::VmStatus::Dead);
     if (!Status)
       return fail(Status.error().m_Code, Status.error().m_Message);
+    if (auto Checked = checkCounts({Each.vm.incarnation, Each.counter});
+        !Checked)
+      return fail(Checked.error().m_Code, Checked.error().m_Message);
     Heartbeat.m_Entries.push_back({fromWire(Each.vm),
                                    static_cast<uint64_t>(Each.counter),
                                    Status.value()});
@@ -86,6 +95,14 @@
 
 } // namespace
 
+Result<void> checkCounts(std::initializer_list<int64_t> Counts) {
+  for (int64_t Each : Counts)
+    if (Each < 0)
+      return fail(ErrorCode::Protocol,
+                  "a peer sent the negative count " + std::to_string(Each));
+  return boost::outcome_v2::success();
+}
+
 wire::Pool toWire(const balancing::PoolId &Pool) {
   wire::Pool Message;
   Message.serviceName = Pool.m_Service;
@@ -134,11 +151,17 @@
     return fail(Heartbeat.error().m_Code, Heartbeat.error().m_Message);
   HeartbeatBundle Bundle;
   Bundle.m_Heartbeat = std::move(Heartbeat.value());
-  for (const wire::Owner &Each : Message.owners)
+  for (const wire::Owner &Each : Message.owners) {
+    if (auto Checked = checkCounts({Each.epoch}); !Checked)
+      return fail(Checked.error().m_Code, Checked.error().m_Message);
     Bundle.m_Owners.push_back(
         {fromWire(Each.pool), Each.owner, static_cast<uint64_t>(Each.epoch)});
-  for (const wire::VmVersion &Each : Message.versions)
+  }
+  for (const wire::VmVersion &Each : Message.versions) {
+    if (auto Checked = checkCounts({Each.version}); !Checked)
+      return fail(Checked.error().m_Code, Checked.error().m_Message);
     Bundle.m_Versions.push_back({Each.vm, static_cast<uint64_t>(Each.version)});
+  }
   return Bundle;
 }
 
--- a/libs/entry/src/WireOwnership.cpp
+++ b/libs/entry/src/WireOwnership.cpp
@@ -20,10 +20,12 @@
   return Servers;
 }
 
-std::vector<balancing::ServerDigest>
+Result<std::vector<balancing::ServerDigest>>
 fromWire(const std::vector<wire::ServerDigest> &Servers) {
   std::vector<balancing::ServerDigest> Digest;
   for (const wire::ServerDigest &Each : Servers) {
+    if (auto Checked = checkCounts({Each.limit, Each.inFlight}); !Checked)
+      return fail(Checked.error().m_Code, Checked.error().m_Message);
     balancing::ServerDigest Server;
     Server.m_Server = Each.server;
     Server.m_BootId = Each.bootId;
@@ -59,6 +61,32 @@
   return Epochs;
 }
 
+/// Checks the counts of the member of the union that is set.
+Result<void> checkOwnership(const wire::OwnershipMessage &Message) {
+  auto CheckPromise = [](const auto &Wire, const auto &Pools) {
+    auto Checked = checkCounts({Wire.incarnation, Wire.round});
+    for (const wire::PoolEpoch &Each : Pools)
+      if (Checked)
+        Checked = checkCounts({Each.epoch});
+    return Checked;
+  };
+  if (Message.__isset.promiseRequest)
+    return CheckPromise(Message.promiseRequest, Message.promiseRequest.pools);
+  if (Message.__isset.promiseAnswer)
+    return CheckPromise(Message.promiseAnswer, Message.promiseAnswer.granted);
+  if (Message.__isset.offer)
+    return checkCounts({Message.offer.incarnation, Message.offer.epoch});
+  if (Message.__isset.offerAnswer)
+    return checkCounts(
+        {Message.offerAnswer.incarnation, Message.offerAnswer.epoch});
+  if (Message.__isset.released)
+    return checkCounts({Message.released.epoch});
+  if (Message.__isset.confirmed)
+    return checkCounts({Message.confirmed.epoch});
+  return fail(ErrorCode::Protocol,
+              "a peer sent an ownership message of an unknown kind");
+}
+
 /// Fills in the member of the union for each kind of message.
 struct OwnershipWriter {
   wire::OwnershipMessage &m_Wire;
@@ -127,6 +155,8 @@
 }
 
 Result<ownership::Message> fromWire(const wire::OwnershipMessage &Message) {
+  if (auto Checked = checkOwnership(Message); !Checked)
+    return fail(Checked.error().m_Code, Checked.error().m_Message);
   auto Unsigned = [](int64_t Value) { return static_cast<uint64_t>(Value); };
   if (Message.__isset.promiseRequest) {
     const wire::PromiseRequest &Wire = Message.promiseRequest;
@@ -142,9 +172,12 @@
   }
   if (Message.__isset.offer) {
     const wire::HandOverOffer &Wire = Message.offer;
+    auto Digest = fromWire(Wire.digest);
+    if (!Digest)
+      return fail(Digest.error().m_Code, Digest.error().m_Message);
     return ownership::Message(ownership::HandOverOffer{
         Wire.sender, Unsigned(Wire.incarnation), fromWire(Wire.pool),
-        Unsigned(Wire.epoch), fromWire(Wire.digest)});
+        Unsigned(Wire.epoch), std::move(Digest.value())});
   }
   if (Message.__isset.offerAnswer) {
     const wire::HandOverAnswer &Wire = Message.offerAnswer;
@@ -157,13 +190,9 @@
     return ownership::Message(ownership::HandOverReleased{
         Wire.sender, fromWire(Wire.pool), Unsigned(Wire.epoch)});
   }
-  if (Message.__isset.confirmed) {
-    const wire::HandOverConfirmed &Wire = Message.confirmed;
-    return ownership::Message(ownership::HandOverConfirmed{
-        Wire.sender, fromWire(Wire.pool), Unsigned(Wire.epoch)});
-  }
-  return fail(ErrorCode::Protocol,
-              "a peer sent an ownership message of an unknown kind");
+  const wire::HandOverConfirmed &Wire = Message.confirmed;
+  return ownership::Message(ownership::HandOverConfirmed{
+      Wire.sender, fromWire(Wire.pool), Unsigned(Wire.epoch)});
 }
 
 } // namespace hyssopcross::entry
