--- a/libs/peer/include/hyssopcross/peer/PeerServer.h
+++ b/libs/peer/include/hyssopcross/peer/PeerServer.h
@@ -13,8 +13,8 @@
 /// for handlers that still run.
 class PeerServer {
 public:
-  /// Returns once the server listens. The handler is called from many threads at once. Fails
-  /// if the address can't be bound.
+  /// Returns once the server listens. The handler is called from many threads
+  /// at once. Fails if the address can't be bound.
   static Result<std::unique_ptr<PeerServer>>
   start(const Address &Listen, std::shared_ptr<wire::PeerIf> Handler);
 
