Review: a header field of 64 KiB ends every process that reads it

Cause: the parser throws for a field of 65,534 bytes or more; the limit that the operator sets may be higher, and nothing catches the exception.

--- a/review/standins/Deployment.cpp
+++ b/review/standins/Deployment.cpp
@@ -327,12 +327,13 @@
   return *m_Upstreams.back();
 }
 
-void Deployment::configure(const std::vector<RouteOptions> &Routes) {
+void Deployment::configure(const std::vector<RouteOptions> &Routes,
+                           uint32_t MaxHeaderBytes) {
   Json Config = {{"Version", "00000007"},
                  {"Routes", Json::object()},
                  {"Services", Json::object()},
                  {"Limits",
-                  {{"MaxHeaderBytes", 16384},
+                  {{"MaxHeaderBytes", MaxHeaderBytes},
                    {"MaxBodyBytes", 67108864},
                    {"HeaderTimeoutS", 3},
                    {"IdleTimeoutS", 15}}}};
--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -134,7 +134,8 @@
   Deployment &operator=(const Deployment &) = delete;
 
   Upstream &addUpstream(const std::string &Service);
-  void configure(const std::vector<RouteOptions> &Routes);
+  void configure(const std::vector<RouteOptions> &Routes,
+                 uint32_t MaxHeaderBytes = 16384);
   /// Writes a row of the store as the operator or an upstream does.
   void put(const std::string &Table, const std::string &Key,
            const nlohmann::json &Value) {
