--- a/review/build.sh
+++ b/review/build.sh
@@ -2,6 +2,7 @@
 # Builds the programs of the cases, with their stand-ins, into build/review.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+rm -rf build/review
 mkdir -p build/review
 for Source in review/standins/*.cpp review/[1-5]/*.cpp; do
   Object=build/review/$(echo "${Source%.cpp}" | tr / -).o
