Count datagrams by kind and by whether they leave the data centre

Cause: the traffic between VMs costs more than the requests that they serve, and the metrics told only how many datagrams a VM sent. Done: counters of datagrams and of their bytes by kind and destination.

--- a/libs/fleet/include/hyssopcross/fleet/Datagram.h
+++ b/libs/fleet/include/hyssopcross/fleet/Datagram.h
@@ -94,6 +94,27 @@
   Duration m_ConfirmedAge{};
 };
 
+/// What a datagram is sent for, to count the traffic between entry VMs. It is
+/// not part of the message.
+enum class DatagramKind {
+  Greeting,
+  GreetingAnswer,
+  Heartbeat,
+  Digest,
+  Checks,
+  CheckChanges,
+  InFlight,
+  Rows,
+  Confirmation,
+  Announcement,
+  Leaving,
+  Suspects,
+};
+inline constexpr size_t DatagramKindCount = 12;
+
+/// The name of a kind in metrics.
+std::string_view kindName(DatagramKind Kind);
+
 /// A message between entry VMs.
 struct Datagram {
   VmKey m_Sender = 0;
--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -299,6 +299,36 @@
 
 } // namespace
 
+std::string_view kindName(DatagramKind Kind) {
+  switch (Kind) {
+  case DatagramKind::Greeting:
+    return "greeting";
+  case DatagramKind::GreetingAnswer:
+    return "greeting_answer";
+  case DatagramKind::Heartbeat:
+    return "heartbeat";
+  case DatagramKind::Digest:
+    return "digest";
+  case DatagramKind::Checks:
+    return "checks";
+  case DatagramKind::CheckChanges:
+    return "check_changes";
+  case DatagramKind::InFlight:
+    return "in_flight";
+  case DatagramKind::Rows:
+    return "rows";
+  case DatagramKind::Confirmation:
+    return "confirmation";
+  case DatagramKind::Announcement:
+    return "announcement";
+  case DatagramKind::Leaving:
+    return "leaving";
+  case DatagramKind::Suspects:
+    return "suspects";
+  }
+  return "unknown";
+}
+
 size_t maxEncodedSize(const SuspectReport &From) {
   // Bytes of numbers and of the headers of fields and lists.
   constexpr size_t ReportBytes = 24;
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -446,6 +446,16 @@
   CHECK(decodeRows(encodeRows(Rows)));
 }
 
+// Guards against a new kind of datagram that metrics count under another name.
+TEST_CASE("every kind of datagram has a name of its own in metrics") {
+  std::set<std::string_view> Names;
+  for (size_t I = 0; I < DatagramKindCount; ++I)
+    Names.insert(kindName(static_cast<DatagramKind>(I)));
+  CHECK(Names.size() == DatagramKindCount);
+  CHECK(Names.count("unknown") == 0);
+  CHECK(kindName(static_cast<DatagramKind>(DatagramKindCount)) == "unknown");
+}
+
 TEST_CASE("request limits that are no rates are left out") {
   Datagram Sent;
   for (double PerSecond : {1.5, -1.0, std::nan(""), HUGE_VAL})
--- a/libs/gateway/src/FleetMessenger.cpp
+++ b/libs/gateway/src/FleetMessenger.cpp
@@ -9,6 +9,7 @@
 
 using boost::asio::ip::udp;
 using boost::system::error_code;
+using fleet::DatagramKind;
 
 /// How long health check results wait so that several share a datagram.
 /// In-flight counts are sent without delay: until they arrive, two VMs may
@@ -25,6 +26,16 @@
 constexpr size_t MaxSuspectBytes = 12288;
 constexpr size_t MaxHeartbeatSuspectBytes = 4096;
 
+DatagramDestination destinationOf(const fleet::Fleet &State,
+                                  const std::string &Host) {
+  auto Found = State.m_Peers.find(Host);
+  if (Found == State.m_Peers.end() || !Found->second.m_Heard)
+    return DatagramDestination::Unknown;
+  return Found->second.m_Info.m_DataCentre == State.m_Self.m_DataCentre
+             ? DatagramDestination::Local
+             : DatagramDestination::Remote;
+}
+
 fleet::ServerReport reportOf(const dispatch::Server &Of) {
   fleet::ServerReport Made{Of.m_Key, Of.m_Report, std::nullopt};
   if (Of.m_HasAnnouncedDraining)
@@ -133,7 +144,8 @@
   return Made;
 }
 
-void FleetMessenger::send(const std::string &Bytes, const std::string &Host) {
+void FleetMessenger::send(const std::string &Bytes, const std::string &Host,
+                          DatagramKind Kind) {
   error_code Failure;
   auto To = boost::asio::ip::make_address_v4(Host, Failure);
   if (!Failure)
@@ -142,12 +154,15 @@
   // A datagram that cannot be sent is treated like one lost in transit;
   // heartbeats repeat everything that matters.
   m_State.m_Metrics.count(Failure ? "datagram_not_sent" : "datagram_sent");
+  if (!Failure)
+    m_State.m_Metrics.noteDatagram(Kind, destinationOf(m_State.m_Fleet, Host),
+                                   Bytes.size());
 }
 
 void FleetMessenger::greet(const std::string &Host) {
   if (!fleet::addPeerAddress(m_State.m_Fleet, Host, m_State.now()))
     return;
-  send(greeting(), Host);
+  send(greeting(), Host, DatagramKind::Greeting);
 }
 
 std::string FleetMessenger::greeting() {
@@ -177,7 +192,7 @@
     }
   }
   addNotices(Reply);
-  send(fleet::encodeDatagram(Reply), From.m_Host);
+  send(fleet::encodeDatagram(Reply), From.m_Host, DatagramKind::GreetingAnswer);
   fleet::Datagram News = newDatagram();
   auto Suspects = reportsOf(m_State.m_Suspects.m_Suspects, m_State.now());
   // The receiver has no crashes that a completed request could clear.
@@ -185,7 +200,7 @@
                 [](const auto &Each) { return Each.m_Crashes.empty(); });
   takeSuspects(Suspects, MaxSuspectBytes, News);
   if (!News.m_Suspects.empty())
-    send(fleet::encodeDatagram(News), From.m_Host);
+    send(fleet::encodeDatagram(News), From.m_Host, DatagramKind::Suspects);
 }
 
 void FleetMessenger::addNotices(fleet::Datagram &To) const {
@@ -227,7 +242,7 @@
   for (const auto &[Host, Known] : m_State.m_Fleet.m_Peers)
     if (Known.m_Alive &&
         Known.m_Info.m_DataCentre == m_State.m_Fleet.m_Self.m_DataCentre)
-      send(Bytes, Host);
+      send(Bytes, Host, DatagramKind::Digest);
 }
 
 std::string FleetMessenger::encodeHeartbeat() {
@@ -268,7 +283,7 @@
   for (const auto &[Host, Known] : m_State.m_Fleet.m_Peers)
     if (IsForAll ||
         Known.m_Info.m_DataCentre == m_State.m_Fleet.m_Self.m_DataCentre)
-      send(Bytes, Host);
+      send(Bytes, Host, DatagramKind::Announcement);
 }
 
 void FleetMessenger::sendHeartbeat() {
@@ -280,7 +295,7 @@
       m_State.m_Fleet, Policy, IsDue, m_State.m_Random, Now);
   std::string Bytes = encodeHeartbeat();
   for (const std::string &Host : To.m_Heartbeat)
-    send(Bytes, Host);
+    send(Bytes, Host, DatagramKind::Heartbeat);
   if (!To.m_Digest.empty()) {
     m_DigestAt = Now;
     fleet::Datagram Told = newDatagram();
@@ -288,13 +303,13 @@
     Told.m_Digests.push_back(fleet::makeLocalDigest(m_State.m_Fleet, Now));
     Bytes = fleet::encodeDatagram(Told);
     for (const std::string &Host : To.m_Digest)
-      send(Bytes, Host);
+      send(Bytes, Host, DatagramKind::Digest);
   }
   if (To.m_Greeting.empty())
     return;
   Bytes = greeting();
   for (const std::string &Host : To.m_Greeting)
-    send(Bytes, Host);
+    send(Bytes, Host, DatagramKind::Greeting);
 }
 
 void FleetMessenger::onHeartbeatTimer() {
@@ -522,19 +537,19 @@
   std::string Bytes = fleet::encodeDatagram(News);
   if (Bytes.size() > MaxRowBytes)
     return announce();
-  sendToAll(Bytes);
+  sendToAll(Bytes, DatagramKind::Rows);
 }
 
 void FleetMessenger::sendStoreConfirmation() {
   fleet::Datagram News = newDatagram();
   News.m_Following = m_Handlers.m_GetOwnFollowing();
-  sendToAll(fleet::encodeDatagram(News));
+  sendToAll(fleet::encodeDatagram(News), DatagramKind::Confirmation);
 }
 
-void FleetMessenger::sendToAll(const std::string &Bytes) {
+void FleetMessenger::sendToAll(const std::string &Bytes, DatagramKind Kind) {
   for (const auto &[Host, Known] : m_State.m_Fleet.m_Peers)
     if (Known.m_Alive)
-      send(Bytes, Host);
+      send(Bytes, Host, Kind);
 }
 
 void FleetMessenger::scheduleCheckUpdates() {
@@ -583,13 +598,13 @@
   }
   std::string Bytes = fleet::encodeDatagram(News);
   if (IsForAll)
-    return sendToAll(Bytes);
+    return sendToAll(Bytes, DatagramKind::Checks);
   std::vector<const std::string *> Remote;
   for (const auto &[Host, Known] : m_State.m_Fleet.m_Peers) {
     if (!Known.m_Alive || (IsForUsers && !Users.count(Host)))
       continue;
     if (Known.m_Info.m_DataCentre == m_State.m_Settings.m_DataCentre)
-      send(Bytes, Host);
+      send(Bytes, Host, DatagramKind::Checks);
     else
       Remote.push_back(&Host);
   }
@@ -607,7 +622,7 @@
   std::string Whole = fleet::encodeDatagram(All);
   std::set<std::string> Told;
   for (size_t I = Turn; I < Remote.size(); I += Turns) {
-    send(Whole, *Remote[I]);
+    send(Whole, *Remote[I], DatagramKind::Checks);
     Told.insert(*Remote[I]);
   }
   if (Turns == 1 || !m_State.m_Settings.m_Dispatch.m_TellChangesOnly)
@@ -629,7 +644,7 @@
     fleet::Datagram Numbered = newDatagram();
     Numbered.m_Reports = std::move(News.m_Reports);
     Numbered.m_Limits = std::move(News.m_Limits);
-    send(fleet::encodeDatagram(Numbered), Host);
+    send(fleet::encodeDatagram(Numbered), Host, DatagramKind::CheckChanges);
   }
 }
 
@@ -637,7 +652,7 @@
   if (!m_PendingLeaving.empty()) {
     fleet::Datagram News = newDatagram();
     News.m_Leaving = std::exchange(m_PendingLeaving, {});
-    sendToAll(fleet::encodeDatagram(News));
+    sendToAll(fleet::encodeDatagram(News), DatagramKind::Leaving);
   }
   std::vector<fleet::SuspectReport> Suspects;
   for (dispatch::RequestFingerprint Each : std::exchange(m_PendingSuspects, {}))
@@ -647,7 +662,7 @@
   while (!Suspects.empty()) {
     fleet::Datagram News = newDatagram();
     takeSuspects(Suspects, MaxSuspectBytes, News);
-    sendToAll(fleet::encodeDatagram(News));
+    sendToAll(fleet::encodeDatagram(News), DatagramKind::Suspects);
   }
   // Group servers used by the same VMs into one datagram.
   std::map<std::vector<std::string>, fleet::Datagram> ByUsers;
@@ -677,7 +692,7 @@
     Numbered.m_Limits = std::move(News.m_Limits);
     std::string Bytes = fleet::encodeDatagram(Numbered);
     for (const std::string &Host : Hosts)
-      send(Bytes, Host);
+      send(Bytes, Host, DatagramKind::InFlight);
   }
 }
 
--- a/libs/gateway/src/FleetMessenger.h
+++ b/libs/gateway/src/FleetMessenger.h
@@ -93,8 +93,9 @@
   void scheduleCheckUpdates();
   void scheduleServerUpdates();
   fleet::Datagram newDatagram();
-  void send(const std::string &Bytes, const std::string &Host);
-  void sendToAll(const std::string &Bytes);
+  void send(const std::string &Bytes, const std::string &Host,
+            fleet::DatagramKind Kind);
+  void sendToAll(const std::string &Bytes, fleet::DatagramKind Kind);
 
   void sendCheckUpdates();
   /// Sends check results to VMs of other data centres: changes to all that use
--- a/libs/gateway/src/Metrics.cpp
+++ b/libs/gateway/src/Metrics.cpp
@@ -1,4 +1,5 @@
 #include "Metrics.h"
+#include <array>
 #include <functional>
 #include <map>
 #include <prometheus/counter.h>
@@ -16,6 +17,18 @@
 const prometheus::Histogram::BucketBoundaries LatencyBounds = {
     0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 15};
 
+const char *destinationName(DatagramDestination Destination) {
+  switch (Destination) {
+  case DatagramDestination::Local:
+    return "local";
+  case DatagramDestination::Remote:
+    return "remote";
+  case DatagramDestination::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
 double toSeconds(Duration Length) {
   return std::chrono::duration<double>(Length).count();
 }
@@ -47,6 +60,25 @@
   std::map<std::string, std::reference_wrapper<prometheus::Counter>,
            std::less<>>
       m_EventCounters;
+  prometheus::Family<prometheus::Counter> &m_Datagrams =
+      prometheus::BuildCounter()
+          .Name("hyssopcross_datagrams_sent_total")
+          .Help("Datagrams to other entry VMs by kind and destination")
+          .Register(m_Registry);
+  prometheus::Family<prometheus::Counter> &m_DatagramBytes =
+      prometheus::BuildCounter()
+          .Name("hyssopcross_datagram_bytes_sent_total")
+          .Help("Bytes of these datagrams without headers of IP and UDP")
+          .Register(m_Registry);
+  /// Counters of one kind of datagram to one destination; null before the
+  /// first one.
+  struct DatagramCounters {
+    prometheus::Counter *m_Count = nullptr;
+    prometheus::Counter *m_Bytes = nullptr;
+  };
+  std::array<DatagramCounters,
+             fleet::DatagramKindCount * DatagramDestinationCount>
+      m_DatagramCounters;
   prometheus::Family<prometheus::Gauge> &m_Values =
       prometheus::BuildGauge()
           .Name("hyssopcross_value")
@@ -84,6 +116,22 @@
   Known->second.get().Increment();
 }
 
+void Metrics::noteDatagram(fleet::DatagramKind Kind,
+                           DatagramDestination Destination, size_t Bytes) {
+  size_t Index = static_cast<size_t>(Kind) * DatagramDestinationCount +
+                 static_cast<size_t>(Destination);
+  Series::DatagramCounters &Known = m_Series->m_DatagramCounters.at(Index);
+  if (!Known.m_Count) {
+    const prometheus::Labels Labels = {
+        {"kind", std::string(fleet::kindName(Kind))},
+        {"destination", destinationName(Destination)}};
+    Known.m_Count = &m_Series->m_Datagrams.Add(Labels);
+    Known.m_Bytes = &m_Series->m_DatagramBytes.Add(Labels);
+  }
+  Known.m_Count->Increment();
+  Known.m_Bytes->Increment(static_cast<double>(Bytes));
+}
+
 void Metrics::gauge(std::string_view What, double Value) {
   m_Series->m_Values.Add({{"name", std::string(What)}}).Set(Value);
 }
--- a/libs/gateway/src/Metrics.h
+++ b/libs/gateway/src/Metrics.h
@@ -2,12 +2,22 @@
 #define HYSSOPCROSS_GATEWAY_SRC_METRICS_H
 
 #include "hyssopcross/base/Clock.h"
+#include "hyssopcross/fleet/Datagram.h"
 #include <memory>
 #include <string>
 #include <string_view>
 
 namespace hyssopcross::gateway {
 
+/// Where a datagram goes, seen from the data centre of its sender.
+enum class DatagramDestination {
+  Local,
+  Remote,
+  /// A VM that has not been heard yet.
+  Unknown,
+};
+inline constexpr size_t DatagramDestinationCount = 3;
+
 /// Counters, gauges and latency histograms of one VM, in the Prometheus text
 /// format.
 class Metrics {
@@ -24,6 +34,10 @@
   void noteAttempt(std::string_view End, Duration Took);
   /// Increments the counter of an event.
   void count(std::string_view What);
+  /// Records a datagram that was sent to another VM. Destination says whether
+  /// it left the data centre.
+  void noteDatagram(fleet::DatagramKind Kind, DatagramDestination Destination,
+                    size_t Bytes);
   /// Sets the current value of a named gauge.
   void gauge(std::string_view What, double Value);
 
