Select VMs that pass on to other data centres what goes to all VMs

Done: pure functions select the recipients of a message for all VMs, recognise copies by origin, incarnation and sequence, and decide whether to pass on. Field 19 of the datagram asks for it, or names the origin of what was passed on. Nothing uses them yet.

--- a/libs/fleet/fleet.thrift
+++ b/libs/fleet/fleet.thrift
@@ -143,6 +143,18 @@
   3: optional i32 completedAgeMillis,
 }
 
+// In a datagram for all VMs that its sender sends to few VMs of another data
+// centre. Without an origin: the receiver must pass it on to the live VMs of its
+// own data centre. With an origin: it has been passed on, by the sender of the
+// datagram, and is not passed on again.
+struct PassOn {
+  // Address of the VM that the content comes from.
+  1: optional string origin,
+  // Incarnation of that VM, and sequence of its datagram.
+  2: optional i64 incarnation,
+  3: optional i64 sequence,
+}
+
 struct Datagram {
   1: i32 sender,
   2: i64 incarnation,
@@ -161,4 +173,5 @@
   12: optional list<RequestLimit> limits,
   13: optional list<Leaving> leaving,
   14: optional list<Suspect> suspects,
+  19: optional PassOn passOn,
 }
--- a/libs/fleet/include/hyssopcross/fleet/Datagram.h
+++ b/libs/fleet/include/hyssopcross/fleet/Datagram.h
@@ -109,12 +109,21 @@
   Announcement,
   Leaving,
   Suspects,
+  PassedOn,
 };
-inline constexpr size_t DatagramKindCount = 12;
+inline constexpr size_t DatagramKindCount = 13;
 
 /// The name of a kind in metrics.
 std::string_view kindName(DatagramKind Kind);
 
+/// The datagram for all VMs whose content another VM passes on.
+struct Origin {
+  /// Address of the VM that sent it.
+  std::string m_Host;
+  int64_t m_Incarnation = 0;
+  int64_t m_Sequence = 0;
+};
+
 /// A message between entry VMs.
 struct Datagram {
   VmKey m_Sender = 0;
@@ -133,8 +142,20 @@
   std::vector<ServerLimit> m_Limits;
   std::vector<ServerLeaving> m_Leaving;
   std::vector<SuspectReport> m_Suspects;
+  /// Asks a receiver in another data centre to pass the content on to the live
+  /// VMs there.
+  bool m_ShouldPassOn = false;
+  /// Set if the content is not the sender's own but has been passed on.
+  std::optional<Origin> m_Origin;
 };
 
+/// Builds the datagram that passes on what another VM sent for all VMs: its
+/// progress, rows, check results and request limits. Its description and counts
+/// are omitted: a receiver takes these as those of the sender, and digests tell
+/// what other data centres need to know of a VM. The caller fills in the
+/// sender.
+Datagram makePassedOn(const Datagram &Received, std::string_view Host);
+
 /// Encodes a datagram with Thrift's compact protocol.
 std::string encodeDatagram(const Datagram &Message);
 
--- a/libs/fleet/include/hyssopcross/fleet/Membership.h
+++ b/libs/fleet/include/hyssopcross/fleet/Membership.h
@@ -67,6 +67,17 @@
   uint32_t m_Relays = 3;
   /// Number of VMs in each other data centre that a relay sends each digest to.
   uint32_t m_DigestReceivers = 2;
+  /// Number of VMs in each other data centre of a large fleet that receive what
+  /// goes to all VMs and pass it on. With two, one of them may be gone or
+  /// frozen.
+  uint32_t m_PassOnReceivers = 2;
+  /// A VM that has not run for this long was frozen. The value exceeds the
+  /// pauses of a process whose CPU allowance is used up, and is short compared
+  /// with the age at which a confirmation of the store becomes stale.
+  Duration m_FreezeGap = std::chrono::milliseconds(400);
+  /// Time after a freeze in which a VM passes nothing on: what waited at its
+  /// socket may be as old as the freeze.
+  Duration m_FreezePause = std::chrono::milliseconds(200);
   /// Number of contacts in each further data centre that a new VM receives.
   uint32_t m_Contacts = 2;
   /// Interval between digests of a relay. During the bootstrap period, a digest
@@ -112,6 +123,14 @@
   VmInfo m_Info;
   TimePoint m_HeardAt{};
   int64_t m_Sequence = 0;
+  /// Sequence number of its newest datagram for all VMs that this VM received
+  /// from it or passed on by another VM. It is kept apart from m_Sequence: a
+  /// datagram that is passed on arrives later than one that was sent after it
+  /// directly, and neither may cause the other one to be rejected.
+  int64_t m_PassedOnSequence = 0;
+  /// Which of that number and the 63 before it have been received; the lowest
+  /// bit stands for the newest.
+  uint64_t m_PassedOnSeen = 0;
   /// False while only the address is known: another VM listed it, but it has
   /// not been heard yet.
   bool m_Heard = false;
@@ -155,6 +174,33 @@
 bool acceptSequence(Fleet &State, std::string_view Host, int64_t Incarnation,
                     int64_t Sequence, TimePoint Now);
 
+/// What a datagram for all VMs is to a VM that receives it from its origin or
+/// passed on by another VM.
+enum class BroadcastAge {
+  /// Newer than all others of its origin.
+  Newest,
+  /// First copy, but overtaken by a later datagram: the two went through
+  /// different VMs. What does not depend on the order still applies.
+  Overtaken,
+  /// Another copy, much too late, or of an unknown origin.
+  Rejected,
+};
+
+/// When a VM last ran and when it last ran again after a freeze.
+struct RunTimes {
+  TimePoint m_RanAt{};
+  TimePoint m_ThawedAt{};
+};
+
+/// Records that this VM runs. Must be called several times within the gap that
+/// counts as a freeze, and before datagrams are read.
+void noteRunning(RunTimes &State, const FleetPolicy &Policy, TimePoint Now);
+
+/// Records the sequence number of a datagram for all VMs by its origin. Does
+/// not count as having heard the origin.
+BroadcastAge acceptBroadcast(Fleet &State, std::string_view Origin,
+                             int64_t Incarnation, int64_t Sequence);
+
 /// Whether the fleet is large: heartbeats are sent half as often, and other
 /// data centres receive digests instead.
 bool isLarge(const Fleet &State, const FleetPolicy &Policy);
--- a/libs/fleet/include/hyssopcross/fleet/Relay.h
+++ b/libs/fleet/include/hyssopcross/fleet/Relay.h
@@ -83,6 +83,41 @@
                                               std::mt19937 &Random,
                                               TimePoint Now);
 
+/// Recipients of a message for all VMs.
+struct BroadcastRecipients {
+  /// VMs that receive it from this one: all live VMs or, in a large fleet,
+  /// those of the local data centre.
+  std::vector<std::string> m_Direct;
+  /// VMs of other data centres that pass it on to the live VMs there.
+  std::vector<std::string> m_PassOn;
+};
+
+/// Selects the recipients of a message for all VMs. Those that pass it on are
+/// drawn anew each time, so one that is gone, frozen or cut off stands in the
+/// way of few messages; VMs that are leaving are drawn last.
+BroadcastRecipients selectBroadcastRecipients(const Fleet &State,
+                                              const FleetPolicy &Policy,
+                                              std::mt19937 &Random);
+
+/// What a VM knows of a datagram for all VMs that it has received.
+struct ReceivedBroadcast {
+  /// Its sender asks for it to be passed on; not set in one that has been.
+  bool m_ShouldPassOn = false;
+  std::string_view m_SenderDataCentre;
+  /// As acceptBroadcast returned it: if another VM has passed it on to this one
+  /// before, it has passed it on to the others too.
+  BroadcastAge m_Age = BroadcastAge::Rejected;
+  /// Time since this VM last ran again after a freeze.
+  Duration m_SinceFreeze{};
+};
+
+/// Whether to pass a datagram on to the live VMs of the local data centre.
+bool mustPassOn(const Fleet &State, const FleetPolicy &Policy,
+                const ReceivedBroadcast &Received);
+
+/// Hosts of live VMs of the local data centre.
+std::vector<std::string> localHosts(const Fleet &State);
+
 /// Hosts of live VMs of a data centre, or of all data centres if it is empty,
 /// to list to another VM: a contiguous part of the sorted list from a random
 /// start. At most Limit.
--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -325,6 +325,8 @@
     return "leaving";
   case DatagramKind::Suspects:
     return "suspects";
+  case DatagramKind::PassedOn:
+    return "passed_on";
   }
   return "unknown";
 }
@@ -350,6 +352,17 @@
   return fromWire(Read.value());
 }
 
+Datagram makePassedOn(const Datagram &Received, std::string_view Host) {
+  Datagram Passed;
+  Passed.m_Origin = {std::string(Host), Received.m_Incarnation,
+                     Received.m_Sequence};
+  Passed.m_Following = Received.m_Following;
+  Passed.m_Rows = Received.m_Rows;
+  Passed.m_Reports = Received.m_Reports;
+  Passed.m_Limits = Received.m_Limits;
+  return Passed;
+}
+
 std::string encodeDatagram(const Datagram &Message) {
   wire::Datagram Output;
   Output.sender = static_cast<int32_t>(Message.m_Sender);
@@ -412,6 +425,15 @@
     for (const SuspectReport &Each : Message.m_Suspects)
       Output.suspects.push_back(toWire(Each));
   }
+  if (Message.m_Origin) {
+    wire::PassOn Passed;
+    Passed.__set_origin(Message.m_Origin->m_Host);
+    Passed.__set_incarnation(Message.m_Origin->m_Incarnation);
+    Passed.__set_sequence(Message.m_Origin->m_Sequence);
+    Output.__set_passOn(Passed);
+  } else if (Message.m_ShouldPassOn) {
+    Output.__set_passOn(wire::PassOn());
+  }
   return encode(Output);
 }
 
@@ -467,6 +489,11 @@
     Output.m_Leaving.push_back({std::move(Each.server), Each.incarnation});
   for (wire::Suspect &Each : Read.suspects)
     Output.m_Suspects.push_back(fromWire(Each));
+  if (Read.__isset.passOn && Read.passOn.__isset.origin)
+    Output.m_Origin = {std::move(Read.passOn.origin), Read.passOn.incarnation,
+                       Read.passOn.sequence};
+  else
+    Output.m_ShouldPassOn = Read.__isset.passOn;
   return Output;
 }
 
--- a/libs/fleet/src/Membership.cpp
+++ b/libs/fleet/src/Membership.cpp
@@ -120,8 +120,11 @@
   else if (Info.m_Ready != Known.m_Info.m_Ready ||
            Info.m_Leaving != Known.m_Info.m_Leaving)
     Change = PeerChange::Changed;
-  if (Info.m_Incarnation != Known.m_Info.m_Incarnation)
+  if (Info.m_Incarnation != Known.m_Info.m_Incarnation) {
     Known.m_Sequence = 0;
+    Known.m_PassedOnSequence = 0;
+    Known.m_PassedOnSeen = 0;
+  }
   // Leaving is final for an incarnation, even if a late heartbeat reports
   // otherwise.
   bool Leaving =
@@ -150,6 +153,38 @@
   return true;
 }
 
+void noteRunning(RunTimes &State, const FleetPolicy &Policy, TimePoint Now) {
+  if (Now - State.m_RanAt >= Policy.m_FreezeGap)
+    State.m_ThawedAt = Now;
+  State.m_RanAt = Now;
+}
+
+BroadcastAge acceptBroadcast(Fleet &State, std::string_view Origin,
+                             int64_t Incarnation, int64_t Sequence) {
+  auto Found = State.m_Peers.find(Origin);
+  if (Found == State.m_Peers.end() || !Found->second.m_Alive ||
+      Found->second.m_Info.m_Incarnation != Incarnation || Sequence <= 0)
+    return BroadcastAge::Rejected;
+  constexpr int64_t Window = 64;
+  Peer &Known = Found->second;
+  int64_t Newest = Known.m_PassedOnSequence;
+  if (Sequence > Newest) {
+    uint64_t Earlier = Sequence - Newest < Window
+                           ? Known.m_PassedOnSeen << (Sequence - Newest)
+                           : 0;
+    Known.m_PassedOnSeen = Earlier | 1;
+    Known.m_PassedOnSequence = Sequence;
+    return BroadcastAge::Newest;
+  }
+  if (Newest - Sequence >= Window)
+    return BroadcastAge::Rejected;
+  uint64_t Bit = uint64_t(1) << (Newest - Sequence);
+  if (Known.m_PassedOnSeen & Bit)
+    return BroadcastAge::Rejected;
+  Known.m_PassedOnSeen |= Bit;
+  return BroadcastAge::Overtaken;
+}
+
 bool isLarge(const Fleet &State, const FleetPolicy &Policy) {
   return State.m_Peers.size() >= Policy.m_LargeFleetThreshold;
 }
--- a/libs/fleet/src/Relay.cpp
+++ b/libs/fleet/src/Relay.cpp
@@ -140,6 +140,47 @@
   return Recipients;
 }
 
+BroadcastRecipients selectBroadcastRecipients(const Fleet &State,
+                                              const FleetPolicy &Policy,
+                                              std::mt19937 &Random) {
+  BroadcastRecipients Recipients;
+  bool SendsToAll = !isLarge(State, Policy);
+  std::map<std::string_view, std::vector<const Peer *>> Remote;
+  for (const auto &[Host, Known] : State.m_Peers) {
+    if (!Known.m_Alive)
+      continue;
+    if (SendsToAll || Known.m_Info.m_DataCentre == State.m_Self.m_DataCentre)
+      Recipients.m_Direct.push_back(Host);
+    else
+      Remote[Known.m_Info.m_DataCentre].push_back(&Known);
+  }
+  for (auto &[DataCentre, Peers] : Remote) {
+    std::shuffle(Peers.begin(), Peers.end(), Random);
+    std::stable_partition(Peers.begin(), Peers.end(), [](const Peer *Each) {
+      return !Each->m_Info.m_Leaving;
+    });
+    size_t Count = std::min<size_t>(Peers.size(), Policy.m_PassOnReceivers);
+    for (size_t I = 0; I < Count; ++I)
+      Recipients.m_PassOn.push_back(Peers[I]->m_Info.m_Host);
+  }
+  return Recipients;
+}
+
+bool mustPassOn(const Fleet &State, const FleetPolicy &Policy,
+                const ReceivedBroadcast &Received) {
+  return Received.m_ShouldPassOn && Received.m_Age != BroadcastAge::Rejected &&
+         Received.m_SenderDataCentre != State.m_Self.m_DataCentre &&
+         Received.m_SinceFreeze >= Policy.m_FreezePause;
+}
+
+std::vector<std::string> localHosts(const Fleet &State) {
+  std::vector<std::string> Hosts;
+  for (const auto &[Host, Known] : State.m_Peers)
+    if (Known.m_Alive && Known.m_Info.m_DataCentre == State.m_Self.m_DataCentre)
+      Hosts.push_back(Host);
+  return Hosts;
+}
+
 std::vector<std::string> selectGossipHosts(const Fleet &State,
                                            std::string_view DataCentre,
                                            size_t Limit, std::mt19937 &Random) {
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -446,6 +446,52 @@
   CHECK(decodeRows(encodeRows(Rows)));
 }
 
+// Guards against a datagram that is passed on twice because its mark is lost,
+// and against counts of one VM that are taken for those of another.
+TEST_CASE("a datagram that is passed on names its origin and keeps only what "
+          "is not the sender's own") {
+  Datagram Sent;
+  Sent.m_Sender = 3;
+  Sent.m_Incarnation = 17;
+  Sent.m_Sequence = 12;
+  Sent.m_ShouldPassOn = true;
+  Sent.m_Self = makeVm("10.0.0.1", "dc");
+  Sent.m_InFlight = {{0x80000002, 3}};
+  Sent.m_KnownHosts = {"10.0.0.3"};
+  Sent.m_Following = Following{true, {{2, 5}, {2, 7}}, 40ms};
+  Sent.m_Reports = {{0x80000001, {}, std::nullopt, 200ms}};
+  Sent.m_Limits = {{"i-1", 4, 1.5, 20ms}};
+  TableRows Rows;
+  Rows.m_After = {2, 5};
+  Rows.m_Batch.m_UpTo = {2, 7};
+  Rows.m_Batch.m_Rows = {{"key", "value", 6, false}};
+  Sent.m_Rows = {Rows};
+  auto Read = decodeDatagram(encodeDatagram(Sent));
+  REQUIRE(Read);
+  CHECK(Read.value().m_ShouldPassOn);
+  CHECK_FALSE(Read.value().m_Origin);
+
+  Datagram Passed = makePassedOn(Read.value(), "10.0.0.1");
+  auto Again = decodeDatagram(encodeDatagram(Passed));
+  REQUIRE(Again);
+  const Datagram &Received = Again.value();
+  CHECK_FALSE(Received.m_ShouldPassOn);
+  REQUIRE(Received.m_Origin);
+  CHECK(Received.m_Origin->m_Host == "10.0.0.1");
+  CHECK(Received.m_Origin->m_Incarnation == 17);
+  CHECK(Received.m_Origin->m_Sequence == 12);
+  CHECK_FALSE(Received.m_Self);
+  CHECK(Received.m_InFlight.empty());
+  CHECK(Received.m_KnownHosts.empty());
+  REQUIRE(Received.m_Following);
+  CHECK(Received.m_Following->m_ConfirmedAge == 40ms);
+  CHECK(Received.m_Following->m_LastChanges[1].m_Version == 7);
+  CHECK(Received.m_Reports.size() == 1);
+  CHECK(Received.m_Limits.size() == 1);
+  REQUIRE(Received.m_Rows.size() == 1);
+  CHECK(Received.m_Rows[0].m_Batch.m_Rows[0].m_Value == "value");
+}
+
 // Guards against a new kind of datagram that metrics count under another name.
 TEST_CASE("every kind of datagram has a name of its own in metrics") {
   std::set<std::string_view> Names;
--- a/libs/fleet/tests/RelayTest.cpp
+++ b/libs/fleet/tests/RelayTest.cpp
@@ -446,3 +446,296 @@
   applyDigest(View, FleetPolicy(), {"here", {{Near, 0ms}}}, Start);
   CHECK(View.m_Peers.empty());
 }
+
+namespace {
+
+/// A view of a fleet whose VMs all know each other; the host of a VM names its
+/// data centre and its number there.
+Fleet makeView(const std::vector<uint32_t> &VmsByDataCentre,
+               const std::string &SelfHost, TimePoint Now) {
+  Fleet View;
+  for (size_t At = 0; At < VmsByDataCentre.size(); ++At)
+    for (uint32_t I = 0; I < VmsByDataCentre[At]; ++I) {
+      VmInfo Info;
+      Info.m_DataCentre = "dc" + std::to_string(At);
+      Info.m_Host = Info.m_DataCentre + "/" + std::to_string(I);
+      Info.m_Incarnation = 1;
+      Info.m_Ready = true;
+      if (Info.m_Host == SelfHost)
+        View.m_Self = Info;
+      else
+        updatePeer(View, Info, Now);
+    }
+  return View;
+}
+
+std::map<std::string, size_t>
+countByDataCentre(const Fleet &View, const std::vector<std::string> &Hosts) {
+  std::map<std::string, size_t> Counts;
+  for (const std::string &Host : Hosts)
+    ++Counts[View.m_Peers.at(Host).m_Info.m_DataCentre];
+  return Counts;
+}
+
+} // namespace
+
+// Guards against messages between data centres that grow with the VMs there,
+// against relays that are known to be gone, and against relays in small fleets.
+TEST_CASE("what goes to all VMs crosses to two live VMs of each data centre") {
+  const TimePoint Now{1h};
+  struct Case {
+    const char *m_Name;
+    std::vector<uint32_t> m_Vms;
+    /// VMs of dc1 with these numbers are not alive, or leaving.
+    std::set<uint32_t> m_Gone;
+    std::set<uint32_t> m_Leaving;
+    size_t m_Direct;
+    std::map<std::string, size_t> m_PassOn;
+  };
+  const Case Cases[] = {
+      {"small fleet", {10, 10, 10}, {}, {}, 29, {}},
+      {"small fleet, some gone", {10, 10, 10}, {1, 2}, {}, 27, {}},
+      {"threshold", {11, 10, 10}, {}, {}, 10, {{"dc1", 2}, {"dc2", 2}}},
+      {"300 VMs", {100, 100, 100}, {}, {}, 99, {{"dc1", 2}, {"dc2", 2}}},
+      {"one VM there", {40, 1, 2}, {}, {}, 39, {{"dc1", 1}, {"dc2", 2}}},
+      {"nobody alive there", {40, 2, 5}, {0, 1}, {}, 39, {{"dc2", 2}}},
+      {"all but one leave",
+       {40, 4, 5},
+       {},
+       {0, 1, 2},
+       39,
+       {{"dc1", 2}, {"dc2", 2}}},
+  };
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Name);
+    Fleet View = makeView(Each.m_Vms, "dc0/0", Now);
+    for (uint32_t I : Each.m_Gone)
+      View.m_Peers.at("dc1/" + std::to_string(I)).m_Alive = false;
+    for (uint32_t I : Each.m_Leaving)
+      View.m_Peers.at("dc1/" + std::to_string(I)).m_Info.m_Leaving = true;
+    std::mt19937 Random(1);
+    std::set<std::string> Drawn;
+    for (int I = 0; I < 100; ++I) {
+      BroadcastRecipients To =
+          selectBroadcastRecipients(View, FleetPolicy(), Random);
+      CHECK(To.m_Direct.size() == Each.m_Direct);
+      CHECK(countByDataCentre(View, To.m_PassOn) == Each.m_PassOn);
+      std::set<std::string> Hosts(To.m_Direct.begin(), To.m_Direct.end());
+      Hosts.insert(To.m_PassOn.begin(), To.m_PassOn.end());
+      CHECK(Hosts.size() == To.m_Direct.size() + To.m_PassOn.size());
+      for (const std::string &Host : Hosts)
+        CHECK(View.m_Peers.at(Host).m_Alive);
+      Drawn.insert(To.m_PassOn.begin(), To.m_PassOn.end());
+      // The only VM that stays is always among the two.
+      if (!Each.m_Leaving.empty())
+        CHECK(std::count(To.m_PassOn.begin(), To.m_PassOn.end(), "dc1/3") == 1);
+    }
+    // The same two each time would be one fault away from silence.
+    if (std::string_view(Each.m_Name) == "300 VMs")
+      CHECK(Drawn.size() > 100);
+  }
+}
+
+// Guards against datagrams that circulate, and against a VM that was frozen and
+// passes on as new what is old.
+TEST_CASE("a datagram is passed on once, by a VM of another data centre that "
+          "was not frozen") {
+  Fleet View = makeView({20, 20}, "dc0/0", TimePoint{1h});
+  struct Case {
+    const char *m_Name;
+    ReceivedBroadcast m_Received;
+    bool m_MustPassOn;
+  };
+  const Case Cases[] = {
+      {"asked", {true, "dc1", BroadcastAge::Newest, 1h}, true},
+      {"overtaken", {true, "dc1", BroadcastAge::Overtaken, 1h}, true},
+      {"another copy", {true, "dc1", BroadcastAge::Rejected, 1h}, false},
+      {"passed on before", {false, "dc1", BroadcastAge::Newest, 1h}, false},
+      {"own data centre", {true, "dc0", BroadcastAge::Newest, 1h}, false},
+      {"after a freeze", {true, "dc1", BroadcastAge::Newest, 200ms}, true},
+      {"was frozen", {true, "dc1", BroadcastAge::Newest, 199ms}, false},
+  };
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Name);
+    CHECK(mustPassOn(View, FleetPolicy(), Each.m_Received) ==
+          Each.m_MustPassOn);
+  }
+}
+
+// Guards against a freeze that is forgotten because the timer runs before the
+// socket is read, and against pauses of an allowance that count as freezes.
+TEST_CASE("a VM knows for a while that it was frozen") {
+  struct Case {
+    const char *m_Name;
+    std::vector<Duration> m_RanAfter;
+    Duration m_SinceFreeze;
+  };
+  const Case Cases[] = {
+      {"runs", {50ms, 50ms, 399ms}, 499ms},
+      {"frozen", {50ms, 400ms}, 0ms},
+      {"the timer runs first", {50ms, 2s, 1ms, 1ms}, 2ms},
+      {"frozen twice", {1s, 50ms, 1s, 50ms}, 50ms},
+  };
+  const TimePoint Start{1h};
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Name);
+    RunTimes State;
+    TimePoint Now = Start;
+    // What a VM receives at its start counts as waiting since a freeze.
+    noteRunning(State, FleetPolicy(), Now);
+    CHECK(State.m_ThawedAt == Now);
+    for (Duration Passed : Each.m_RanAfter) {
+      Now += Passed;
+      noteRunning(State, FleetPolicy(), Now);
+    }
+    CHECK(Now - State.m_ThawedAt == Each.m_SinceFreeze);
+  }
+}
+
+// Guards against rows that are lost because a later datagram came through a
+// faster VM, and against direct datagrams that are rejected because of one that
+// was passed on, or the other way round.
+TEST_CASE("broadcasts are accepted once each, in any order within the window") {
+  using Age = BroadcastAge;
+  struct Case {
+    const char *m_Name;
+    std::vector<int64_t> m_Sequences;
+    std::vector<Age> m_Ages;
+  };
+  const Case Cases[] = {
+      {"in order", {1, 2, 7}, {Age::Newest, Age::Newest, Age::Newest}},
+      {"second copies",
+       {5, 5, 6, 5, 6},
+       {Age::Newest, Age::Rejected, Age::Newest, Age::Rejected, Age::Rejected}},
+      {"overtaken",
+       {9, 7, 7, 8},
+       {Age::Newest, Age::Overtaken, Age::Rejected, Age::Overtaken}},
+      {"edge of the window",
+       {70, 7, 6, 7},
+       {Age::Newest, Age::Overtaken, Age::Rejected, Age::Rejected}},
+      {"jump past the window",
+       {3, 1000, 3, 937, 936},
+       {Age::Newest, Age::Newest, Age::Rejected, Age::Overtaken,
+        Age::Rejected}},
+      {"shift by the whole window",
+       {3, 67, 3, 4},
+       {Age::Newest, Age::Newest, Age::Rejected, Age::Overtaken}},
+      {"no sequence", {0, -1}, {Age::Rejected, Age::Rejected}},
+      {"largest number",
+       {INT64_MAX, 1, INT64_MAX - 1},
+       {Age::Newest, Age::Rejected, Age::Overtaken}},
+  };
+  const TimePoint Now{1h};
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Name);
+    Fleet View = makeView({20, 20}, "dc0/0", Now);
+    for (size_t I = 0; I < Each.m_Sequences.size(); ++I) {
+      CAPTURE(I);
+      CHECK(acceptBroadcast(View, "dc1/0", 1, Each.m_Sequences[I]) ==
+            Each.m_Ages[I]);
+    }
+  }
+  Fleet View = makeView({20, 20}, "dc0/0", Now);
+  CHECK(acceptBroadcast(View, "dc1/0", 1, 50) == Age::Newest);
+  CHECK(acceptSequence(View, "dc1/0", 1, 40, Now));
+  CHECK(acceptSequence(View, "dc1/0", 1, 60, Now));
+  CHECK(acceptBroadcast(View, "dc1/0", 1, 55) == Age::Newest);
+  CHECK(acceptBroadcast(View, "dc1/0", 2, 56) == Age::Rejected);
+  CHECK(acceptBroadcast(View, "unknown", 1, 56) == Age::Rejected);
+  CHECK(acceptBroadcast(View, "dc0/0", 1, 56) == Age::Rejected);
+  VmInfo Restarted = View.m_Peers.at("dc1/0").m_Info;
+  Restarted.m_Incarnation = 2;
+  updatePeer(View, Restarted, Now);
+  CHECK(acceptBroadcast(View, "dc1/0", 2, 1) == Age::Newest);
+  View.m_Peers.at("dc1/1").m_Alive = false;
+  CHECK(acceptBroadcast(View, "dc1/1", 1, 1) == Age::Rejected);
+}
+
+// Guards against a fault of one VM that keeps rows from a data centre until the
+// failure timeout, and against copies that grow with the number of relays.
+TEST_CASE("a broadcast reaches every VM that is in touch, with one VM of each "
+          "data centre failed") {
+  enum class Fault { None, Dead, DeafToOrigin, MuteAtHome };
+  struct Case {
+    const char *m_Name;
+    std::vector<uint32_t> m_Vms;
+    /// What is wrong with VM 1 of each other data centre, unknown to all.
+    Fault m_Fault;
+    double m_Loss;
+    double m_MaxMissedShare;
+  };
+  const Case Cases[] = {
+      {"94 VMs", {32, 31, 31}, Fault::None, 0, 0},
+      {"killed or frozen", {32, 31, 31}, Fault::Dead, 0, 0},
+      {"does not hear the origin", {32, 31, 31}, Fault::DeafToOrigin, 0, 0},
+      {"is not heard at home", {32, 31, 31}, Fault::MuteAtHome, 0, 0},
+      {"300 VMs", {100, 100, 100}, Fault::Dead, 0, 0},
+      // No more than if each VM received it directly.
+      {"loss of 1%", {100, 100, 100}, Fault::None, 0.01, 0.012},
+      {"few VMs there", {40, 2, 3}, Fault::Dead, 0, 0},
+  };
+  const TimePoint Now{1h};
+  const FleetPolicy Policy;
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Name);
+    std::mt19937 Random(7);
+    auto IsLost = [&] {
+      return std::uniform_real_distribution<double>(0, 1)(Random) < Each.m_Loss;
+    };
+    std::map<std::string, Fleet> Views;
+    Fleet Origin = makeView(Each.m_Vms, "dc0/0", Now);
+    for (const auto &[Host, Known] : Origin.m_Peers)
+      Views[Host] = makeView(Each.m_Vms, Host, Now);
+    auto IsFaulty = [&](const std::string &Host) {
+      return Host.substr(0, 3) != "dc0" && Host.substr(3) == "/1";
+    };
+    auto IsFault = [&](const std::string &Host, Fault What) {
+      return IsFaulty(Host) && Each.m_Fault == What;
+    };
+    uint64_t Missed = 0;
+    uint64_t Due = 0;
+    for (int64_t Sequence = 1; Sequence <= 200; ++Sequence) {
+      BroadcastRecipients To =
+          selectBroadcastRecipients(Origin, Policy, Random);
+      CHECK(To.m_PassOn.size() <= 2 * (Each.m_Vms.size() - 1));
+      std::map<std::string, uint32_t> Copies;
+      std::set<std::string> Told;
+      for (const std::string &Host : To.m_Direct)
+        if (!IsLost())
+          Told.insert(Host);
+      for (const std::string &Relay : To.m_PassOn) {
+        if (IsFault(Relay, Fault::Dead) ||
+            IsFault(Relay, Fault::DeafToOrigin) || IsLost())
+          continue;
+        Fleet &View = Views.at(Relay);
+        BroadcastAge Age = acceptBroadcast(View, "dc0/0", 1, Sequence);
+        Told.insert(Relay);
+        ReceivedBroadcast Received{true, "dc0", Age, 1h};
+        if (!mustPassOn(View, Policy, Received))
+          continue;
+        for (const std::string &Host : localHosts(View)) {
+          if (IsFault(Host, Fault::Dead) || IsFault(Relay, Fault::MuteAtHome) ||
+              IsLost())
+            continue;
+          ++Copies[Host];
+          BroadcastAge There =
+              acceptBroadcast(Views.at(Host), "dc0/0", 1, Sequence);
+          if (There != BroadcastAge::Rejected)
+            Told.insert(Host);
+          Received = {false, Views.at(Relay).m_Self.m_DataCentre, There, 1h};
+          CHECK_FALSE(mustPassOn(Views.at(Host), Policy, Received));
+        }
+      }
+      for (const auto &[Host, Count] : Copies)
+        CHECK(Count <= Policy.m_PassOnReceivers);
+      for (const auto &[Host, View] : Views) {
+        if (IsFault(Host, Fault::Dead))
+          continue;
+        ++Due;
+        Missed += Told.count(Host) ? 0 : 1;
+      }
+    }
+    CHECK(static_cast<double>(Missed) <=
+          Each.m_MaxMissedShare * static_cast<double>(Due));
+  }
+}
