--- a/libs/routing/include/hyssopcross/routing/Routes.h
+++ b/libs/routing/include/hyssopcross/routing/Routes.h
@@ -47,6 +47,9 @@
   uint32_t m_Attempts = 1;
   /// Priority level; 0 is the highest.
   uint32_t m_Priority = 0;
+  /// Requests without a known key are served although organisations are
+  /// configured.
+  bool m_IsPublic = false;
   /// Never empty; a route without a traffic split has exactly one part.
   std::vector<WeightedService> m_Parts;
 
@@ -72,12 +75,28 @@
   Duration m_IdleTimeout = std::chrono::seconds(15);
 };
 
+/// An organisation whose callers identify themselves by one of its keys.
+struct Organisation {
+  std::string m_Name;
+  /// Never empty strings; each belongs to one organisation only.
+  std::vector<std::string> m_Keys;
+  /// Takes precedence over the priority of the route.
+  std::optional<uint32_t> m_Priority;
+  /// Quota over all VMs together; zero means no limit.
+  double m_RequestsPerSecond = 0;
+  /// Requests that the quota allows at once; zero means no limit.
+  double m_Burst = 0;
+};
+
 /// One version of the operator configuration. Immutable once built.
 struct Configuration {
   uint64_t m_Version = 0;
   std::vector<Route> m_Routes;
   std::map<std::string, ServiceSettings> m_Services;
   CallerLimits m_Limits;
+  /// By name. Without a value, requests need no key and headers are forwarded
+  /// unchanged; with an empty map, only public routes are served.
+  std::optional<std::map<std::string, Organisation>> m_Organisations;
 };
 
 /// Finds the route of a request. Holds pointers into the configuration that it
