Organisations with keys: decoding, 401 and 503, headers, withdrawn keys

Change: Tenants and Public are decoded; requests without a known key are refused; Authorization is not forwarded and Tenant is set by the VM; keys are checked again before each send. docs/design/keys.md has the design.

--- a/libs/gateway/include/hyssopcross/gateway/PlatformCodec.h
+++ b/libs/gateway/include/hyssopcross/gateway/PlatformCodec.h
@@ -27,6 +27,10 @@
   /// Set in responses of a server that did not execute the request.
   std::string m_NotExecuted;
   std::string m_RetryAfter;
+  /// Names the organisation of the caller to backend servers.
+  std::string m_Organisation;
+  /// Carries the key of the caller.
+  std::string m_Credential;
 };
 
 /// Metadata of a request, decoded from its headers.
@@ -36,6 +40,9 @@
   std::optional<Duration> m_Deadline;
   /// Who sends the request, as it states; empty if it does not.
   std::string m_Caller;
+  /// Identifies the organisation of the caller; empty if there is none. Must
+  /// not be logged or sent on.
+  std::string m_Key;
 };
 
 /// Parameters of a directory request.
--- a/libs/gateway/src/CallAttempts.cpp
+++ b/libs/gateway/src/CallAttempts.cpp
@@ -31,6 +31,7 @@
       Names.m_DeadlineMillis,
       std::to_string(std::max<int64_t>(1, toMillis(Of->m_EndAt - Now))));
   Of->m_Request->set(Names.m_TargetServer, To.m_Record.m_Id);
+  setOrganisationHeaders(Of);
   return Of->m_Request;
 }
 
@@ -129,7 +130,8 @@
 
 void CallDispatcher::considerHedge(const CallRef &Of) {
   Of->m_HedgeConsidered = true;
-  if (Of->m_Arrivals >= Of->m_Route->m_Attempts || !hasActiveAttempt(Of))
+  if (Of->m_Arrivals >= Of->m_Route->m_Attempts || !hasActiveAttempt(Of) ||
+      !checkKey(Of))
     return;
   TimePoint Now = m_State.now();
   // A hedge is worthwhile only if it can still meet the objective, or if the
@@ -167,7 +169,7 @@
   // would be late too, or if it took the slot of a queued request.
   if (!Remaining || Now + *Remaining <= Of->m_ObjectiveAt ||
       inputsOf(Of).m_IsUnderPressure ||
-      Of->m_Arrivals >= Of->m_Route->m_Attempts)
+      Of->m_Arrivals >= Of->m_Route->m_Attempts || !checkKey(Of))
     return;
   dispatch::Choice Made = chooseHedge(Of, *Remaining);
   if (Made.m_Verdict != dispatch::Verdict::Send ||
@@ -343,7 +345,12 @@
   if (hasActiveAttempt(Of))
     return;
   bool WasSent = Result.m_End != http::ExchangeEnd::NotSent;
-  if (!WasSent || mayRepeat(Of, Of->m_MayHaveRun))
+  bool IsKeyAllowed = checkKey(Of);
+  if (!IsKeyAllowed && !Of->m_MayHaveRun) {
+    endIfKeyWithdrawn(Of);
+    return;
+  }
+  if (IsKeyAllowed && (!WasSent || mayRepeat(Of, Of->m_MayHaveRun)))
     return decide(Of);
   // A failure response that the server itself produced is returned unchanged.
   if (How.m_IsSigned && !How.m_NotRun)
@@ -357,19 +364,21 @@
 }
 
 void CallDispatcher::endAttempts(const CallRef &Of) {
-  for (const auto &Each : Of->m_Attempts) {
-    if (Each->m_Ended || !Each->m_Call)
-      continue;
-    Each->m_Ended = true;
-    Each->m_Call->cancel();
-    Each->m_Call.reset();
-    auto Found = m_State.m_Servers.m_Servers.find(Each->m_Server);
-    if (Found == m_State.m_Servers.m_Servers.end())
-      continue;
-    if (Found->second.m_OwnInFlight > 0)
-      --Found->second.m_OwnInFlight;
-    m_Fleet.queueInFlight(Found->second);
-  }
+  for (const auto &Each : Of->m_Attempts)
+    if (!Each->m_Ended && Each->m_Call)
+      cancelAttempt(*Each);
+}
+
+void CallDispatcher::cancelAttempt(Attempt &Which) {
+  Which.m_Ended = true;
+  Which.m_Call->cancel();
+  Which.m_Call.reset();
+  auto Found = m_State.m_Servers.m_Servers.find(Which.m_Server);
+  if (Found == m_State.m_Servers.m_Servers.end())
+    return;
+  if (Found->second.m_OwnInFlight > 0)
+    --Found->second.m_OwnInFlight;
+  m_Fleet.queueInFlight(Found->second);
 }
 
 } // namespace hyssopcross::gateway
--- a/libs/gateway/src/CallDispatcher.cpp
+++ b/libs/gateway/src/CallDispatcher.cpp
@@ -25,6 +25,11 @@
   return std::string(Host.substr(0, Host.find(':')));
 }
 
+/// Names the kind of credential that a refused request needs.
+void setChallenge(http::Response &Answer) {
+  Answer.set(boost::beast::http::field::www_authenticate, "Bearer");
+}
+
 std::string decimalSeconds(Duration Length) {
   int64_t Millis = std::max<int64_t>(1, toMillis(Length));
   std::string Fraction = std::to_string(Millis % 1000);
@@ -56,6 +61,8 @@
   if (Status == 503)
     Answer.set(m_State.m_PlatformCodec.m_Headers.m_RetryAfter,
                decimalSeconds(StartRetryAfter));
+  if (Status == 401)
+    setChallenge(Answer);
   logEvent(LogLevel::Info, "request",
            {{"id", Id},
             {"host", hostOf(Asked->m_Request)},
@@ -86,12 +93,15 @@
     return answerEarly(Asked, Head.m_RequestId, IsCurrent ? 404 : 503,
                        IsCurrent ? "no_route" : "no_route_known");
   }
+  if (refuseUnknownKey(Asked, *Route, Head))
+    return;
   auto Made = std::make_shared<Call>();
   Made->m_Exchange = Asked;
   Made->m_ActiveConfiguration = m_State.m_ActiveConfiguration;
   Made->m_Route = Route;
   Made->m_Id = Head.m_RequestId;
-  Made->m_Caller = Head.m_Caller;
+  Made->m_Caller = std::move(Head.m_Caller);
+  Made->m_Key = std::move(Head.m_Key);
   Made->m_ReceivedAt = Asked->m_ReceivedAt;
   size_t Part = routing::selectPart(*Route, m_Turns[Route->m_Name]);
   Made->m_Service = Route->m_Parts[Part].m_Service;
@@ -101,6 +111,7 @@
   http::removeConnectionHeaders(*Made->m_Request);
   Made->m_Request->version(11);
   Made->m_Request->prepare_payload();
+  checkKey(Made);
 
   Duration Deadline = Head.m_Deadline.value_or(DefaultDeadline);
   Duration &Full = m_FullDeadlines[Route->m_Name];
@@ -169,7 +180,7 @@
 }
 
 void CallDispatcher::decide(const CallRef &Of) {
-  if (endIfQuarantined(Of))
+  if (endIfKeyWithdrawn(Of) || endIfQuarantined(Of))
     return;
   TimePoint Now = m_State.now();
   auto &Queue = m_Queues[Of->m_Service];
@@ -245,7 +256,10 @@
   m_ReconsiderTimers.emplace(Service, std::move(Timer));
 }
 
-void CallDispatcher::configurationChanged() { m_Turns.clear(); }
+void CallDispatcher::configurationChanged() {
+  m_Turns.clear();
+  endCallsWithWithdrawnKeys();
+}
 
 void CallDispatcher::onDeadline(const CallRef &Of) {
   if (Of->m_Attempts.empty() || (!Of->m_MayHaveRun && !hasActiveAttempt(Of)))
@@ -292,8 +306,11 @@
 void CallDispatcher::refuse(const CallRef &Of, unsigned Status, const char *Why,
                             Duration RetryAfter) {
   http::Response Answer = makeLocalResponse(Status, Of->m_Id);
-  Answer.set(m_State.m_PlatformCodec.m_Headers.m_RetryAfter,
-             decimalSeconds(RetryAfter));
+  if (Status == 401)
+    setChallenge(Answer);
+  else
+    Answer.set(m_State.m_PlatformCodec.m_Headers.m_RetryAfter,
+               decimalSeconds(RetryAfter));
   Of->m_Last.m_RetryAfter = RetryAfter;
   Of->m_Exchange->answer(std::move(Answer));
   end(Of, "refused", Status, Why);
@@ -325,6 +342,7 @@
       {{"id", Of->m_Id},
        {"route", Of->m_Route->m_Name},
        {"service", Of->m_Service},
+       {"organisation", Of->m_Organisation ? Of->m_Organisation->m_Name : ""},
        {"configuration", Of->m_ActiveConfiguration->m_Configuration.m_Version},
        {"outcome", Outcome},
        {"status", Status},
--- a/libs/gateway/src/CallDispatcher.h
+++ b/libs/gateway/src/CallDispatcher.h
@@ -29,7 +29,8 @@
   /// Handles a load report of a server: requests that started there while it
   /// was slower than known at the time may be worth hedging.
   void serverReported(const dispatch::Server &Of);
-  /// Drops the traffic split positions of all routes, since routes may be gone.
+  /// Drops the traffic split positions of all routes, since routes may be gone,
+  /// and ends the calls whose key was withdrawn before they were sent.
   void configurationChanged();
   /// Finds out which requests were in progress when servers crashed, tells the
   /// other VMs, and ends the queued calls that may not be sent any more. Called
@@ -66,6 +67,19 @@
     std::string m_Service;
     std::string m_Id;
     std::string m_Caller;
+    /// The caller's key; empty if it sent none. Must not be logged.
+    std::string m_Key;
+    /// The configuration under which the key was last checked.
+    std::shared_ptr<const ActiveConfiguration> m_KeyConfiguration;
+    /// The organisation that the key belongs to, or did until it was withdrawn;
+    /// null if there is none.
+    const routing::Organisation *m_Organisation = nullptr;
+    /// Owns m_Organisation.
+    std::shared_ptr<const ActiveConfiguration> m_OrganisationConfiguration;
+    /// The priority of the organisation, or else of the route.
+    uint32_t m_Priority = 0;
+    /// Result of the last check of the key.
+    bool m_IsKeyAllowed = true;
     /// Computed when it is first needed.
     std::optional<dispatch::RequestFingerprint> m_Fingerprint;
     std::shared_ptr<http::Request> m_Request;
@@ -126,6 +140,22 @@
                      const http::ExchangeResult &Result,
                      dispatch::AttemptEnd End);
   bool mayRepeat(const CallRef &Of, bool HasRun);
+  /// Refuses a request that arrives without a known key where one is needed;
+  /// returns whether it did.
+  bool refuseUnknownKey(const std::shared_ptr<http::Exchange> &Asked,
+                        const routing::Route &For, const CallMetadata &Head);
+  /// Checks the key of a call against the configuration in force, and sets the
+  /// call's organisation and priority. Returns whether the call may be sent.
+  bool checkKey(const CallRef &Of);
+  /// Ends a call that is about to be sent and whose key was withdrawn. Returns
+  /// whether it did.
+  bool endIfKeyWithdrawn(const CallRef &Of);
+  /// Ends the calls whose key was withdrawn and whose request has not been
+  /// sent.
+  void endCallsWithWithdrawnKeys();
+  /// While organisations are configured, replaces what the caller sent: removes
+  /// the credential, and names the organisation if there is one.
+  void setOrganisationHeaders(const CallRef &Of) const;
   dispatch::RequestFingerprint fingerprintOfCall(const CallRef &Of);
   /// Whether the request of a call may crash servers; see dispatch::isSuspect.
   bool isSuspect(const CallRef &Of);
@@ -152,6 +182,8 @@
   void end(const CallRef &Of, std::string_view Outcome, unsigned Status,
            std::string_view Why);
   void endAttempts(const CallRef &Of);
+  /// Ends an attempt that is still running.
+  void cancelAttempt(Attempt &Which);
   void answerEarly(const std::shared_ptr<http::Exchange> &Asked,
                    const std::string &Id, unsigned Status, const char *Why);
   /// Makes a response that does not come from a server.
--- a/libs/gateway/src/DiscoveryClient.cpp
+++ b/libs/gateway/src/DiscoveryClient.cpp
@@ -437,6 +437,8 @@
       (InSight ||
        (Operator.m_IsComplete && Now - Operator.m_ConfirmedAt <
                                      m_State.m_Settings.m_ConfigurationBound));
+  m_State.m_LacksOperatorRows = m_Followers[0].isBehind();
+  m_State.m_SourcesSeenAt = Now;
   if (InSight == m_StoreReachable)
     return;
   m_StoreReachable = InSight;
--- a/libs/gateway/src/DiscoveryRows.cpp
+++ b/libs/gateway/src/DiscoveryRows.cpp
@@ -158,12 +158,16 @@
     return;
   }
   m_State.m_ActiveConfiguration = std::make_shared<const ActiveConfiguration>(
-      std::move(*Read.value().m_Configuration));
+      std::move(*Read.value().m_Configuration), m_State.m_KeySeed);
+  const routing::Configuration &InForce =
+      m_State.m_ActiveConfiguration->m_Configuration;
   logEvent(LogLevel::Info, "configuration_in_force",
            {{"version", Version},
             {"row_version", Changed.m_Version},
-            {"routes",
-             m_State.m_ActiveConfiguration->m_Configuration.m_Routes.size()}});
+            {"routes", InForce.m_Routes.size()},
+            {"has_organisations", InForce.m_Organisations.has_value()},
+            {"organisations",
+             InForce.m_Organisations ? InForce.m_Organisations->size() : 0}});
   m_ConfigurationChanged();
 }
 
--- a/libs/gateway/src/NodeState.h
+++ b/libs/gateway/src/NodeState.h
@@ -9,21 +9,36 @@
 #include "hyssopcross/gateway/PlatformCodec.h"
 #include "hyssopcross/gateway/Settings.h"
 #include "hyssopcross/http/Client.h"
+#include "hyssopcross/routing/Keys.h"
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <random>
 
 namespace hyssopcross::gateway {
 
-/// A configuration and the route table built from it, shared by the calls that
+/// A configuration and the tables built from it, shared by the calls that
 /// started under it.
 struct ActiveConfiguration {
-  explicit ActiveConfiguration(routing::Configuration Given)
-      : m_Configuration(std::move(Given)), m_Routes(m_Configuration) {}
+  ActiveConfiguration(routing::Configuration Given, uint64_t KeySeed)
+      : m_Configuration(std::move(Given)), m_Routes(m_Configuration),
+        m_Keys(m_Configuration, KeySeed) {}
   const routing::Configuration m_Configuration;
   const routing::RouteTable m_Routes;
+  const routing::KeyTable m_Keys;
 };
 
+/// Returns a random number that callers cannot predict, unlike those of
+/// NodeState::m_Random.
+inline uint64_t makeKeySeed() {
+  std::random_device Source;
+  return static_cast<uint64_t>(Source()) << 32 | Source();
+}
+
+/// Age from which the last look at the sources of the operators' table counts
+/// for nothing. The node looks every 50 ms; a longer pause means that the
+/// process was stopped, and the sources may be gone since.
+constexpr Duration SourceSightAge = std::chrono::seconds(1);
+
 /// Divisor of the process's memory limit: buffered responses of servers may
 /// take one part in this many.
 constexpr uint64_t AnswerMemoryShare = 8;
@@ -53,6 +68,8 @@
   const PlatformCodec &m_PlatformCodec;
   http::Client m_Client;
   std::mt19937 m_Random;
+  /// Seed of the hashes by which keys are looked up.
+  const uint64_t m_KeySeed = makeKeySeed();
   Metrics m_Metrics;
 
   dispatch::ServerView m_Servers;
@@ -70,6 +87,11 @@
   std::shared_ptr<const ActiveConfiguration> m_ActiveConfiguration;
   /// Whether the sources of the operators' table are currently reachable.
   bool m_SeesOperator = false;
+  /// Whether a change of the operators' table was announced that this VM has
+  /// not received yet.
+  bool m_LacksOperatorRows = false;
+  /// When the two members above were determined.
+  TimePoint m_SourcesSeenAt{};
   dispatch::ShutdownWindow m_Stop;
 
   /// Increases whenever the set of VMs that use a server may have changed.
@@ -77,6 +99,12 @@
     return m_RingsVersion + m_Fleet.m_Version;
   }
   TimePoint now() const { return m_Clock.now(); }
+  /// Whether an unknown key is refused for good: no newer configuration can
+  /// contain it. Otherwise the caller is asked to come back.
+  bool mayRejectKeys() const {
+    return m_SeesOperator && !m_LacksOperatorRows &&
+           now() - m_SourcesSeenAt < SourceSightAge;
+  }
   bool isStopping() const { return m_Stop.m_BeganAt != TimePoint::max(); }
   /// Returns a random number from 0 to 1.
   double draw() {
