Asks and grants of quotas in datagrams between VMs

Change: Datagram fields 15 and 16. An ask with an unknown purpose, negative hops or no organisation is left out; times are clamped to what is not negative.

--- a/libs/fleet/fleet.thrift
+++ b/libs/fleet/fleet.thrift
@@ -155,6 +155,33 @@
   3: optional i64 sequence,
 }
 
+// Asks for a token of an organisation's quota, or for a permission to grant
+// them.
+struct QuotaAsk {
+  1: i64 id,
+  2: string organisation,
+  // Key of the VM that asks; others may forward the ask.
+  3: i32 origin,
+  // Index in the order of quota::Purpose.
+  4: i8 purpose,
+  // How often the ask has been forwarded.
+  5: optional i8 hops,
+}
+
+// Answers a QuotaAsk.
+struct QuotaGrant {
+  1: i64 id,
+  2: i32 origin,
+  3: bool granted,
+  4: optional i32 retryAfterMillis,
+  // Set in the answer to a request for a permission, with the times below.
+  5: optional string permit,
+  // Time since another VM last had the permission, and since the VM that has it
+  // last changed before.
+  6: optional i32 otherAgeMillis,
+  7: optional i32 changeAgeMillis,
+}
+
 struct Datagram {
   1: i32 sender,
   2: i64 incarnation,
@@ -173,5 +200,7 @@
   12: optional list<RequestLimit> limits,
   13: optional list<Leaving> leaving,
   14: optional list<Suspect> suspects,
+  15: optional list<QuotaAsk> quotaAsks,
+  16: optional list<QuotaGrant> quotaGrants,
   19: optional PassOn passOn,
 }
--- a/libs/fleet/include/hyssopcross/fleet/Datagram.h
+++ b/libs/fleet/include/hyssopcross/fleet/Datagram.h
@@ -6,6 +6,7 @@
 #include "hyssopcross/dispatch/Servers.h"
 #include "hyssopcross/fleet/Membership.h"
 #include "hyssopcross/fleet/Relay.h"
+#include "hyssopcross/quota/Quota.h"
 #include <optional>
 #include <span>
 #include <string>
@@ -147,6 +148,8 @@
   bool m_ShouldPassOn = false;
   /// Set if the content is not the sender's own but has been passed on.
   std::optional<Origin> m_Origin;
+  std::vector<quota::Ask> m_QuotaAsks;
+  std::vector<quota::Grant> m_QuotaGrants;
 };
 
 /// Builds the datagram that passes on what another VM sent for all VMs: its
--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -266,6 +266,69 @@
   return Output;
 }
 
+wire::QuotaAsk toWire(const quota::Ask &From) {
+  wire::QuotaAsk Output;
+  Output.id = static_cast<int64_t>(From.m_Id);
+  Output.organisation = From.m_Organisation;
+  Output.origin = static_cast<int32_t>(From.m_Origin);
+  Output.purpose = static_cast<int8_t>(From.m_Purpose);
+  if (From.m_Hops > 0)
+    Output.__set_hops(
+        static_cast<int8_t>(std::min<uint32_t>(From.m_Hops, INT8_MAX)));
+  return Output;
+}
+
+/// An ask with an unknown purpose, a negative number of hops or no organisation
+/// is ignored: the sender must not get an answer to something else.
+bool isValid(const wire::QuotaAsk &From) {
+  return From.purpose >= 0 &&
+         From.purpose <= static_cast<int8_t>(quota::Purpose::Release) &&
+         (!From.__isset.hops || From.hops >= 0) && !From.organisation.empty();
+}
+
+quota::Ask fromWire(wire::QuotaAsk &From) {
+  quota::Ask Output;
+  Output.m_Id = static_cast<uint64_t>(From.id);
+  Output.m_Organisation = std::move(From.organisation);
+  Output.m_Origin = static_cast<uint32_t>(From.origin);
+  Output.m_Purpose = static_cast<quota::Purpose>(From.purpose);
+  if (From.__isset.hops)
+    Output.m_Hops = static_cast<uint32_t>(From.hops);
+  return Output;
+}
+
+wire::QuotaGrant toWire(const quota::Grant &From) {
+  wire::QuotaGrant Output;
+  Output.id = static_cast<int64_t>(From.m_Id);
+  Output.origin = static_cast<int32_t>(From.m_Origin);
+  Output.granted = From.m_IsGranted;
+  if (From.m_RetryAfter > Duration(0))
+    Output.__set_retryAfterMillis(toMillis32(From.m_RetryAfter));
+  if (From.m_Permit) {
+    Output.__set_permit(*From.m_Permit);
+    // Rounded down: an age must not seem longer than it is.
+    Output.__set_otherAgeMillis(toMillis32(From.m_OtherAge));
+    Output.__set_changeAgeMillis(toMillis32(From.m_ChangeAge));
+  }
+  return Output;
+}
+
+quota::Grant fromWire(wire::QuotaGrant &From) {
+  quota::Grant Output;
+  Output.m_Id = static_cast<uint64_t>(From.id);
+  Output.m_Origin = static_cast<uint32_t>(From.origin);
+  Output.m_IsGranted = From.granted;
+  Output.m_RetryAfter =
+      std::chrono::milliseconds(std::max(0, From.retryAfterMillis));
+  if (From.__isset.permit)
+    Output.m_Permit = std::move(From.permit);
+  Output.m_OtherAge =
+      std::chrono::milliseconds(std::max(0, From.otherAgeMillis));
+  Output.m_ChangeAge =
+      std::chrono::milliseconds(std::max(0, From.changeAgeMillis));
+  return Output;
+}
+
 /// Encodes a message with the compact protocol.
 template <typename Message> std::string encode(const Message &From) {
   auto Buffer = std::make_shared<TMemoryBuffer>();
@@ -434,6 +497,16 @@
   } else if (Message.m_ShouldPassOn) {
     Output.__set_passOn(wire::PassOn());
   }
+  if (!Message.m_QuotaAsks.empty()) {
+    Output.__isset.quotaAsks = true;
+    for (const quota::Ask &Each : Message.m_QuotaAsks)
+      Output.quotaAsks.push_back(toWire(Each));
+  }
+  if (!Message.m_QuotaGrants.empty()) {
+    Output.__isset.quotaGrants = true;
+    for (const quota::Grant &Each : Message.m_QuotaGrants)
+      Output.quotaGrants.push_back(toWire(Each));
+  }
   return encode(Output);
 }
 
@@ -494,6 +567,11 @@
                        Read.passOn.sequence};
   else
     Output.m_ShouldPassOn = Read.__isset.passOn;
+  for (wire::QuotaAsk &Each : Read.quotaAsks)
+    if (isValid(Each))
+      Output.m_QuotaAsks.push_back(fromWire(Each));
+  for (wire::QuotaGrant &Each : Read.quotaGrants)
+    Output.m_QuotaGrants.push_back(fromWire(Each));
   return Output;
 }
 
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -502,6 +502,65 @@
   CHECK(kindName(static_cast<DatagramKind>(DatagramKindCount)) == "unknown");
 }
 
+// Guards against answers that reach the wrong request and permissions that seem
+// older than they are.
+TEST_CASE("asks and grants of quotas survive encoding and decoding") {
+  Datagram Sent;
+  Sent.m_QuotaAsks = {
+      {UINT64_MAX - 5, "org", 0xfedcba98, quota::Purpose::Token, 0},
+      {6, "o", 2, quota::Purpose::Release, 2}};
+  Sent.m_QuotaGrants = {
+      {UINT64_MAX - 5, 0xfedcba98, false, 1500ms, std::nullopt, 0ms, 0ms},
+      {7, 3, true, 0ms, "org", 2999999us, 90h}};
+  auto Read = decodeDatagram(encodeDatagram(Sent));
+  REQUIRE(Read);
+  REQUIRE(Read.value().m_QuotaAsks.size() == 2);
+  const quota::Ask &First = Read.value().m_QuotaAsks[0];
+  CHECK(First.m_Id == UINT64_MAX - 5);
+  CHECK(First.m_Organisation == "org");
+  CHECK(First.m_Origin == 0xfedcba98);
+  CHECK(First.m_Purpose == quota::Purpose::Token);
+  CHECK(First.m_Hops == 0);
+  CHECK(Read.value().m_QuotaAsks[1].m_Purpose == quota::Purpose::Release);
+  CHECK(Read.value().m_QuotaAsks[1].m_Hops == 2);
+  REQUIRE(Read.value().m_QuotaGrants.size() == 2);
+  const quota::Grant &Refused = Read.value().m_QuotaGrants[0];
+  CHECK(Refused.m_Id == UINT64_MAX - 5);
+  CHECK(Refused.m_Origin == 0xfedcba98);
+  CHECK_FALSE(Refused.m_IsGranted);
+  CHECK(Refused.m_RetryAfter == 1500ms);
+  CHECK_FALSE(Refused.m_Permit);
+  const quota::Grant &Permit = Read.value().m_QuotaGrants[1];
+  CHECK(Permit.m_IsGranted);
+  CHECK(Permit.m_Permit == "org");
+  CHECK(Permit.m_OtherAge == 2999ms);
+  CHECK(Permit.m_ChangeAge == 90h);
+}
+
+// Guards against an ask of a newer build, or a damaged one, that is taken for
+// something else.
+TEST_CASE("asks that cannot be understood are left out") {
+  Datagram Sent;
+  Sent.m_QuotaAsks = {{1, "org", 2, static_cast<quota::Purpose>(4), 0},
+                      {2, "org", 2, static_cast<quota::Purpose>(255), 0},
+                      {3, "", 2, quota::Purpose::Token, 0},
+                      {4, "org", 2, quota::Purpose::Reserve, 300}};
+  auto Read = decodeDatagram(encodeDatagram(Sent));
+  REQUIRE(Read);
+  REQUIRE(Read.value().m_QuotaAsks.size() == 1);
+  CHECK(Read.value().m_QuotaAsks[0].m_Id == 4);
+  CHECK(Read.value().m_QuotaAsks[0].m_Hops == 127);
+  // Ages are never negative, and lengths of time have an upper bound.
+  Datagram Early;
+  Early.m_QuotaGrants = {{1, 2, true, -5s, "org", -5s, Duration::max()}};
+  auto Clamped = decodeDatagram(encodeDatagram(Early));
+  REQUIRE(Clamped);
+  CHECK(Clamped.value().m_QuotaGrants[0].m_RetryAfter == 0ms);
+  CHECK(Clamped.value().m_QuotaGrants[0].m_OtherAge == 0ms);
+  CHECK(Clamped.value().m_QuotaGrants[0].m_ChangeAge ==
+        std::chrono::milliseconds(INT32_MAX));
+}
+
 TEST_CASE("request limits that are no rates are left out") {
   Datagram Sent;
   for (double PerSecond : {1.5, -1.0, std::nan(""), HUGE_VAL})
