Host of quotas: asks, grants and their timer on the event loop

Change: QuotaHost owns the state, sends asks and grants at once, and follows the fleet's view. Datagrams of quotas are a kind of their own in metrics.

--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -390,6 +390,8 @@
     return "suspects";
   case DatagramKind::PassedOn:
     return "passed_on";
+  case DatagramKind::Quota:
+    return "quota";
   }
   return "unknown";
 }
--- a/libs/gateway/src/FleetMessenger.cpp
+++ b/libs/gateway/src/FleetMessenger.cpp
@@ -440,6 +440,8 @@
     m_Handlers.m_OnFollowing(*Message.m_Following, Origin);
   for (const fleet::TableRows &Each : Message.m_Rows)
     m_Handlers.m_OnTableRows(Each);
+  if (!Message.m_QuotaAsks.empty() || !Message.m_QuotaGrants.empty())
+    m_Handlers.m_OnQuota(Message, Host);
   applyLimits(Message);
   applySuspects(Message);
   for (const fleet::ServerLeaving &Each : Message.m_Leaving)
@@ -569,6 +571,15 @@
   broadcast(std::move(News), DatagramKind::Rows);
 }
 
+void FleetMessenger::sendQuota(const std::string &Host,
+                               std::vector<quota::Ask> Asks,
+                               std::vector<quota::Grant> Grants) {
+  fleet::Datagram News = newDatagram();
+  News.m_QuotaAsks = std::move(Asks);
+  News.m_QuotaGrants = std::move(Grants);
+  send(fleet::encodeDatagram(News), Host, DatagramKind::Quota);
+}
+
 void FleetMessenger::sendStoreConfirmation() {
   fleet::Datagram News = newDatagram();
   News.m_Following = m_Handlers.m_GetOwnFollowing();
--- a/libs/gateway/src/FleetMessenger.h
+++ b/libs/gateway/src/FleetMessenger.h
@@ -27,6 +27,9 @@
     /// Returns this VM's own progress in following the store; absent if it does
     /// not follow it.
     std::function<std::optional<fleet::Following>()> m_GetOwnFollowing;
+    /// Called when another VM sent asks or grants of organisations' quotas.
+    std::function<void(const fleet::Datagram &, const std::string &Host)>
+        m_OnQuota;
   };
 
   FleetMessenger(NodeState &State, Handlers To);
@@ -61,6 +64,10 @@
   void queueLeaving(const std::string &Server, int64_t Incarnation);
   /// Queues for all VMs what is known of a request that may crash servers.
   void queueSuspect(dispatch::RequestFingerprint Request);
+  /// Sends asks and grants of organisations' quotas to a VM at once: a request
+  /// waits for the answer.
+  void sendQuota(const std::string &Host, std::vector<quota::Ask> Asks,
+                 std::vector<quota::Grant> Grants);
   /// Notifies all VMs that the store has just answered this one.
   void sendStoreConfirmation();
   /// Forwards rows to all VMs. If they do not fit in a datagram, only announces
--- a/libs/gateway/src/Node.cpp
+++ b/libs/gateway/src/Node.cpp
@@ -3,6 +3,7 @@
 #include "DiscoveryClient.h"
 #include "FleetMessenger.h"
 #include "HealthChecker.h"
+#include "QuotaHost.h"
 #include "hyssopcross/base/Log.h"
 #include "hyssopcross/http/Listener.h"
 #include <charconv>
@@ -51,14 +52,17 @@
                  [this](const fleet::Following &News, const std::string &Host) {
                    m_Discovery.applyPeerFollowing(News, Host);
                  },
-                 [this] { return m_Discovery.ownFollowing(); }}),
+                 [this] { return m_Discovery.ownFollowing(); },
+                 [this](const fleet::Datagram &News, const std::string &Host) {
+                   m_Quotas.receive(News, Host);
+                 }}),
         m_Health(m_State,
                  [this](const CheckUpdate &News) {
                    if (News.m_Result != dispatch::CheckResult::Known)
                      m_Fleet.queueCheckUpdate(News);
                    onServerUpdate(News.m_Server);
                  }),
-        m_Calls(m_State, m_Fleet, m_Health),
+        m_Quotas(m_State, m_Fleet), m_Calls(m_State, m_Fleet, m_Health),
         m_Discovery(m_State, m_Fleet, [this] { configurationChanged(); }),
         m_Callers(Loop, Time, [this](auto Asked) { m_Calls.begin(Asked); }),
         m_Readiness(Loop, Time, [this](auto Asked) { answerReadiness(Asked); }),
@@ -80,6 +84,7 @@
   NodeState m_State;
   FleetMessenger m_Fleet;
   HealthChecker m_Health;
+  QuotaHost m_Quotas;
   CallDispatcher m_Calls;
   DiscoveryClient m_Discovery;
   http::Listener m_Callers;
@@ -171,6 +176,8 @@
           ? static_cast<double>(
                 m_State.m_ActiveConfiguration->m_Configuration.m_Version)
           : 0.0);
+  m_State.m_Metrics.gauge("quota_organisations_granted",
+                          static_cast<double>(m_Quotas.grantedCount()));
   m_State.m_Metrics.gauge("store_era", static_cast<double>(m_Discovery.era()));
   Asked->answer(http::makeResponse(200, m_State.m_Metrics.render(),
                                    "text/plain; version=0.0.4"));
@@ -208,6 +215,7 @@
   m_State.m_Client.sweep();
   m_Discovery.sweep();
   m_Calls.confirmCrashes();
+  m_Quotas.upkeep();
   updateReadiness();
   if (m_State.now() - m_ModelsLoggedAt >= ModelLogInterval) {
     m_ModelsLoggedAt = m_State.now();
@@ -290,6 +298,7 @@
   Own.m_Repeats = Given.m_Repeats;
   Own.m_Dispatch = Given.m_Dispatch;
   Own.m_FleetPolicy = Given.m_FleetPolicy;
+  Own.m_Quota = Given.m_Quota;
   logEvent(LogLevel::Info, "reloaded", {{"name", Own.m_Name}});
 }
 
--- a/review/standins/Deployment.cpp
+++ b/review/standins/Deployment.cpp
@@ -25,7 +25,8 @@
   return Text;
 }
 
-/// The settings of a process: the template of the deploy file, filled in.
+/// The settings of a process: the template of the deploy file, filled in. A
+/// section {{#X}}...{{/X}} remains only if X has a value.
 std::string fillTemplate(const std::map<std::string, std::string> &Values) {
   std::ifstream File("deploy/settings.flags");
   std::stringstream Text;
@@ -33,7 +34,13 @@
   std::string Filled = Text.str();
   for (size_t At = 0; (At = Filled.find("{{", At)) != std::string::npos;) {
     size_t End = Filled.find("}}", At);
-    auto Known = Values.find(Filled.substr(At + 2, End - At - 2));
+    std::string Name = Filled.substr(At + 2, End - At - 2);
+    if (Name.starts_with('#') && !Values.count(Name.substr(1))) {
+      std::string Close = "{{/" + Name.substr(1) + "}}";
+      Filled.erase(At, Filled.find(Close, End) + Close.size() - At);
+      continue;
+    }
+    auto Known = Values.find(Name);
     Filled.replace(At, End + 2 - At,
                    Known == Values.end() ? "" : Known->second);
   }
--- a/tools/hyssopcross-entry/Flags.cpp
+++ b/tools/hyssopcross-entry/Flags.cpp
@@ -33,6 +33,13 @@
 DEFINE_double(repeat_window_s, 10, "window of the retry budget in seconds");
 DEFINE_double(repeat_slack, 0,
               "retries in each window that do not count against the budget");
+DEFINE_double(quota_window_s, 5,
+              "window of organisations' request quotas in seconds");
+DEFINE_double(quota_over, 0.1,
+              "share by which all VMs together may exceed a quota");
+DEFINE_double(quota_slack, 20,
+              "requests in each window by which all VMs together may exceed a "
+              "quota in addition");
 DEFINE_double(health_interval_ms, 40,
               "interval between health checks of a server");
 DEFINE_double(health_checks_per_s_max, 60,
@@ -69,6 +76,9 @@
       {"repeat_ratio", FLAGS_repeat_ratio, 0, 10},
       {"repeat_window_s", FLAGS_repeat_window_s, 0.1, 3600},
       {"repeat_slack", FLAGS_repeat_slack, 0, 1e6},
+      {"quota_window_s", FLAGS_quota_window_s, 0.1, 3600},
+      {"quota_over", FLAGS_quota_over, 0, 10},
+      {"quota_slack", FLAGS_quota_slack, 0, 1e6},
       {"health_interval_ms", FLAGS_health_interval_ms, 5, 60000},
       {"health_checks_per_s_max", FLAGS_health_checks_per_s_max, 0.1, 1e6},
       {"fleet_port", static_cast<double>(FLAGS_fleet_port), 1, 65535},
@@ -140,6 +150,9 @@
   Values.m_Repeats.m_Ratio = FLAGS_repeat_ratio;
   Values.m_Repeats.m_Window = fromSeconds(FLAGS_repeat_window_s);
   Values.m_Repeats.m_Slack = FLAGS_repeat_slack;
+  Values.m_Quota.m_Window = fromSeconds(FLAGS_quota_window_s);
+  Values.m_Quota.m_Over = FLAGS_quota_over;
+  Values.m_Quota.m_Slack = FLAGS_quota_slack;
   Values.m_HealthInterval = fromSeconds(
       std::max(FLAGS_health_interval_ms / 1000,
                MaxConcurrentCheckers / FLAGS_health_checks_per_s_max));
