Requests of organisations with a quota take a token first

Cause: nothing held an organisation to its quota.

Change: a call takes its token before it is decided or queued. Without one it is refused with 429 (over_quota) or 503 (no_quota_granter) and a Retry-After. A call that ends before it was sent returns its token, and one whose caller leaves while it waits is dropped.

--- a/libs/gateway/src/CallDispatcher.cpp
+++ b/libs/gateway/src/CallDispatcher.cpp
@@ -40,8 +40,8 @@
 } // namespace
 
 CallDispatcher::CallDispatcher(NodeState &State, FleetMessenger &Fleet,
-                               HealthChecker &Health)
-    : m_State(State), m_Fleet(Fleet),
+                               QuotaHost &Quotas, HealthChecker &Health)
+    : m_State(State), m_Fleet(Fleet), m_Quotas(Quotas),
       m_OwnsWarmup([&Health](const dispatch::Server &Each) {
         return Health.ownsWarmup(Each);
       }) {}
@@ -136,7 +136,35 @@
           expectedServiceTime(*Route), Made->m_EndAt, Now))
     return refuse(Made, 503, "stopping",
                   m_State.m_Settings.m_Dispatch.m_MinRetryAfter);
-  decide(Made);
+  takeToken(Made);
+}
+
+void CallDispatcher::takeToken(const CallRef &Of) {
+  if (!Of->m_Organisation || !m_Quotas.hasQuota(Of->m_Organisation->m_Name))
+    return decide(Of);
+  Of->m_QuotaOrganisation = Of->m_Organisation->m_Name;
+  // The decision may be made before admit() returns.
+  Of->m_TokenAsk = 0;
+  uint64_t Id = m_Quotas.admit(
+      Of->m_QuotaOrganisation, [this, Of](const quota::Decision &Made) {
+        Of->m_TokenAsk.reset();
+        if (Made.m_Cause == quota::Cause::OverQuota)
+          return refuse(Of, 429, "over_quota", Made.m_RetryAfter);
+        if (Made.m_Cause == quota::Cause::NoGranter)
+          return refuse(Of, 503, "no_quota_granter", Made.m_RetryAfter);
+        Of->m_HasToken = true;
+        decide(Of);
+      });
+  if (Of->m_TokenAsk)
+    Of->m_TokenAsk = Id;
+}
+
+void CallDispatcher::releaseToken(const CallRef &Of) {
+  if (Of->m_TokenAsk)
+    m_Quotas.cancel(*std::exchange(Of->m_TokenAsk, std::nullopt));
+  bool WasSent = Of->m_Arrivals > 0 || Of->m_MayHaveRun;
+  if (std::exchange(Of->m_HasToken, false) && !WasSent)
+    m_Quotas.giveBack(Of->m_QuotaOrganisation);
 }
 
 dispatch::RouteStatistics
@@ -327,6 +355,7 @@
                          unsigned Status, std::string_view Why) {
   HYSSOPCROSS_INVARIANT(!Of->m_Ended, "a call must end only once");
   Of->m_Ended = true;
+  releaseToken(Of);
   if (!Of->m_ContinueAfterDisconnect)
     endAttempts(Of);
   if (Of->m_Timer)
--- a/libs/gateway/src/CallDispatcher.h
+++ b/libs/gateway/src/CallDispatcher.h
@@ -4,6 +4,7 @@
 #include "FleetMessenger.h"
 #include "HealthChecker.h"
 #include "NodeState.h"
+#include "QuotaHost.h"
 #include "hyssopcross/dispatch/Budget.h"
 #include "hyssopcross/dispatch/Choice.h"
 #include "hyssopcross/dispatch/Work.h"
@@ -17,7 +18,7 @@
 /// Forwards callers' requests to backend servers and returns the responses.
 class CallDispatcher {
 public:
-  CallDispatcher(NodeState &State, FleetMessenger &Fleet,
+  CallDispatcher(NodeState &State, FleetMessenger &Fleet, QuotaHost &Quotas,
                  HealthChecker &Health);
 
   /// Accepts a request.
@@ -80,6 +81,12 @@
     uint32_t m_Priority = 0;
     /// Result of the last check of the key.
     bool m_IsKeyAllowed = true;
+    /// The organisation of whose quota the call has taken a token, or waits for
+    /// one; empty if it needs none.
+    std::string m_QuotaOrganisation;
+    /// Set while the call waits for its token.
+    std::optional<uint64_t> m_TokenAsk;
+    bool m_HasToken = false;
     /// Computed when it is first needed.
     std::optional<dispatch::RequestFingerprint> m_Fingerprint;
     std::shared_ptr<http::Request> m_Request;
@@ -129,6 +136,10 @@
   void settle(const CallRef &Of, const ExchangeOutcome &How,
               http::ExchangeResult Result);
 
+  /// Takes a token of the quota of the call's organisation, then decides.
+  void takeToken(const CallRef &Of);
+  /// Ends the wait for a token, and returns that of a call that was not sent.
+  void releaseToken(const CallRef &Of);
   void decide(const CallRef &Of);
   /// Keeps a call in the queue of its service. RetryAt is when to decide again,
   /// or zero if only updates of servers matter.
@@ -199,6 +210,7 @@
 
   NodeState &m_State;
   FleetMessenger &m_Fleet;
+  QuotaHost &m_Quotas;
   dispatch::WarmupOwner m_OwnsWarmup;
   std::set<CallRef> m_Calls;
   /// Queued requests of each service, in order of arrival.
--- a/libs/gateway/src/Node.cpp
+++ b/libs/gateway/src/Node.cpp
@@ -62,7 +62,8 @@
                      m_Fleet.queueCheckUpdate(News);
                    onServerUpdate(News.m_Server);
                  }),
-        m_Quotas(m_State, m_Fleet), m_Calls(m_State, m_Fleet, m_Health),
+        m_Quotas(m_State, m_Fleet),
+        m_Calls(m_State, m_Fleet, m_Quotas, m_Health),
         m_Discovery(m_State, m_Fleet, [this] { configurationChanged(); }),
         m_Callers(Loop, Time, [this](auto Asked) { m_Calls.begin(Asked); }),
         m_Readiness(Loop, Time, [this](auto Asked) { answerReadiness(Asked); }),
@@ -72,6 +73,8 @@
 
   void onServerUpdate(const dispatch::Server &Of);
   void configurationChanged();
+  /// Passes on the quotas of the configuration in force.
+  void setQuotas();
   void answerReadiness(const std::shared_ptr<http::Exchange> &Asked);
   void answerDirectory(const std::shared_ptr<http::Exchange> &Asked);
   void answerInternal(const std::shared_ptr<http::Exchange> &Asked);
@@ -112,10 +115,22 @@
   Taken.m_IdleTimeout = Limits.m_IdleTimeout;
   Taken.m_HeldBytes = m_State.m_Settings.m_MemoryBytes / BodyMemoryShare;
   m_Callers.setLimits(Taken);
+  setQuotas();
   m_Calls.configurationChanged();
   updateReadiness();
 }
 
+void Node::Parts::setQuotas() {
+  std::map<std::string, quota::Quota, std::less<>> Quotas;
+  const auto &Organisations =
+      m_State.m_ActiveConfiguration->m_Configuration.m_Organisations;
+  if (Organisations)
+    for (const auto &[Name, Each] : *Organisations)
+      if (Each.m_RequestsPerSecond > 0)
+        Quotas[Name] = {Each.m_RequestsPerSecond, Each.m_Burst};
+  m_Quotas.setQuotas(Quotas);
+}
+
 void Node::Parts::updateReadiness() {
   bool Ready = m_State.m_ActiveConfiguration && m_Discovery.isComplete() &&
                m_State.now() - m_StartedAt >= GreetingWait;
