Restrict the choice of a server by an optional filter

A roll-out needs calls that go to servers of one version only. ServerRecord carries the version, CallInputs an optional filter; null chooses as before.

--- a/libs/dispatch/include/hyssopcross/dispatch/Choice.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Choice.h
@@ -9,6 +9,9 @@
 
 namespace hyssopcross::dispatch {
 
+/// Whether a call may be sent to a server.
+using ServerFilter = std::function<bool(const Server &)>;
+
 /// Inputs of a decision apart from the state of the servers.
 struct CallInputs {
   std::string_view m_Service;
@@ -37,6 +40,9 @@
   /// Latest return that a refused caller of the service was promised because of
   /// request limits.
   TimePoint m_PromisedAt{};
+  /// Restricts the servers that the call may be sent to; null if it may be sent
+  /// to any.
+  const ServerFilter *m_Admits = nullptr;
 };
 
 enum class Verdict {
--- a/libs/dispatch/include/hyssopcross/dispatch/Servers.h
+++ b/libs/dispatch/include/hyssopcross/dispatch/Servers.h
@@ -26,6 +26,8 @@
 struct ServerRecord {
   std::string m_Id;
   std::string m_Service;
+  /// Version of the service that it runs; empty if it states none.
+  std::string m_Version;
   Address m_Address;
   std::string m_DataCentre;
   /// Number of requests that it processes concurrently.
--- a/libs/dispatch/src/Choice.cpp
+++ b/libs/dispatch/src/Choice.cpp
@@ -38,6 +38,8 @@
                 TimePoint Now) {
   if (!isInService(View, Target))
     return false;
+  if (Call.m_Admits && !(*Call.m_Admits)(Target))
+    return false;
   if (Policy.m_Eject && Now < Target.m_EjectedUntil)
     return false;
   if (Target.m_ReportAt != TimePoint{} &&
@@ -204,7 +206,8 @@
   size_t Candidates = 0;
   for (const Server *Each : Service->second) {
     Candidates += Each->m_IsCandidate ? 1 : 0;
-    if (!isInService(View, *Each))
+    if (!isInService(View, *Each) ||
+        (Call.m_Admits && !(*Call.m_Admits)(*Each)))
       continue;
     const RequestLimit *Limit = activeLimitOf(*Each);
     if (Now < Each->m_RefusesUntil)
--- a/libs/dispatch/src/Servers.cpp
+++ b/libs/dispatch/src/Servers.cpp
@@ -74,10 +74,10 @@
 }
 
 bool sameRecord(const ServerRecord &A, const ServerRecord &B) {
-  return A.m_Service == B.m_Service && A.m_Address == B.m_Address &&
-         A.m_DataCentre == B.m_DataCentre && A.m_Slots == B.m_Slots &&
-         A.m_Leaving == B.m_Leaving && A.m_Incarnation == B.m_Incarnation &&
-         A.m_ColdFor == B.m_ColdFor;
+  return A.m_Service == B.m_Service && A.m_Version == B.m_Version &&
+         A.m_Address == B.m_Address && A.m_DataCentre == B.m_DataCentre &&
+         A.m_Slots == B.m_Slots && A.m_Leaving == B.m_Leaving &&
+         A.m_Incarnation == B.m_Incarnation && A.m_ColdFor == B.m_ColdFor;
 }
 
 } // namespace
