Carry counts and verdicts of roll-outs between VMs

Datagram fields 17 and 18. Entries with negative counts, sums that the answers cannot have or unknown states are dropped, since they would decide by themselves.

--- a/libs/fleet/fleet.thrift
+++ b/libs/fleet/fleet.thrift
@@ -155,6 +155,52 @@
   3: optional i64 sequence,
 }
 
+// Ended attempts of the sender at the servers of one side of a roll-out, on one
+// route. All numbers are totals since the sender began to count.
+struct RolloutRoute {
+  // Hash of the route's name.
+  1: i32 route,
+  // At servers of another version than the ordered one.
+  2: bool old,
+  3: i32 answers,
+  4: i32 failures,
+  // Answers with a known expected time, and the sum and the sum of squares of
+  // the logarithm of time taken over expected time.
+  5: i32 timed,
+  6: double logSum,
+  7: double logSquares,
+}
+
+// What the sender has counted of the roll-out of a service.
+struct RolloutCounts {
+  1: string serviceName,
+  2: string version,
+  // Time since the order, as far as the sender knows.
+  3: i32 ageMillis,
+  // Requests for the service, and attempts sent to the ordered version.
+  4: i32 received,
+  5: i32 sent,
+  // Attempts in flight at servers of other versions.
+  6: i32 oldInFlight,
+  // Last step that the sender applies.
+  7: i32 step,
+  8: list<RolloutRoute> routes,
+}
+
+// Step or outcome of the roll-out of a service.
+struct RolloutVerdict {
+  1: string serviceName,
+  2: string version,
+  // Index in the order of rollout::State.
+  3: i8 state,
+  4: i32 step,
+  // Share of the requests that goes to the ordered version.
+  5: i16 sharePermille,
+  6: i32 ageMillis,
+  // The store holds this outcome.
+  7: optional bool stored,
+}
+
 struct Datagram {
   1: i32 sender,
   2: i64 incarnation,
@@ -174,4 +220,7 @@
   13: optional list<Leaving> leaving,
   14: optional list<Suspect> suspects,
   19: optional PassOn passOn,
+  // 15, 16 and 20 are reserved.
+  17: optional list<RolloutCounts> rolloutCounts,
+  18: optional list<RolloutVerdict> rolloutVerdicts,
 }
--- a/libs/fleet/include/hyssopcross/fleet/Datagram.h
+++ b/libs/fleet/include/hyssopcross/fleet/Datagram.h
@@ -76,6 +76,47 @@
 /// The most bytes that a report takes in an encoded datagram.
 size_t maxEncodedSize(const SuspectReport &From);
 
+/// Ended attempts of the sender on one route, at servers of the ordered version
+/// or at those of others.
+struct RolloutRoute {
+  uint32_t m_Route = 0;
+  bool m_IsOld = false;
+  uint32_t m_Answers = 0;
+  uint32_t m_Failures = 0;
+  uint32_t m_Timed = 0;
+  double m_LogSum = 0;
+  double m_LogSquares = 0;
+};
+
+/// What the sender has counted of the roll-out of a service; totals.
+struct RolloutCounts {
+  std::string m_Service;
+  std::string m_Version;
+  /// Time since the order, as far as the sender knows.
+  Duration m_Age{};
+  uint32_t m_Received = 0;
+  uint32_t m_Sent = 0;
+  uint32_t m_OldInFlight = 0;
+  uint32_t m_Step = 0;
+  std::vector<RolloutRoute> m_Routes;
+};
+
+/// Step or outcome of the roll-out of a service.
+struct RolloutVerdict {
+  std::string m_Service;
+  std::string m_Version;
+  /// Index in the order of rollout::State.
+  uint32_t m_State = 0;
+  uint32_t m_Step = 0;
+  double m_Share = 0;
+  Duration m_Age{};
+  /// The store holds this outcome.
+  bool m_IsStored = false;
+};
+
+/// The most routes, counted for each side, that a sender reports.
+inline constexpr size_t MaxRolloutRoutes = 80;
+
 /// Rows of a followed table that one VM forwards to others.
 struct TableRows {
   uint32_t m_Table = 0;
@@ -147,6 +188,8 @@
   bool m_ShouldPassOn = false;
   /// Set if the content is not the sender's own but has been passed on.
   std::optional<Origin> m_Origin;
+  std::vector<RolloutCounts> m_RolloutCounts;
+  std::vector<RolloutVerdict> m_RolloutVerdicts;
 };
 
 /// Builds the datagram that passes on what another VM sent for all VMs: its
--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -266,6 +266,105 @@
   return Output;
 }
 
+int32_t toInt32(uint32_t Count) {
+  return static_cast<int32_t>(std::min<uint32_t>(Count, INT32_MAX));
+}
+
+wire::RolloutCounts toWire(const RolloutCounts &From) {
+  wire::RolloutCounts Output;
+  Output.serviceName = From.m_Service;
+  Output.version = From.m_Version;
+  Output.ageMillis = toMillis32(From.m_Age);
+  Output.received = toInt32(From.m_Received);
+  Output.sent = toInt32(From.m_Sent);
+  Output.oldInFlight = toInt32(From.m_OldInFlight);
+  Output.step = toInt32(From.m_Step);
+  for (const RolloutRoute &Each : From.m_Routes) {
+    wire::RolloutRoute Route;
+    Route.route = static_cast<int32_t>(Each.m_Route);
+    Route.old = Each.m_IsOld;
+    Route.answers = toInt32(Each.m_Answers);
+    Route.failures = toInt32(Each.m_Failures);
+    Route.timed = toInt32(Each.m_Timed);
+    Route.logSum = Each.m_LogSum;
+    Route.logSquares = Each.m_LogSquares;
+    Output.routes.push_back(Route);
+  }
+  return Output;
+}
+
+/// Whether sums can be those of this many answers, each of which has a bounded
+/// logarithm. Others would decide about a version by themselves.
+bool isValid(const wire::RolloutRoute &From) {
+  constexpr double MaxLog = 3;
+  return From.answers >= 0 && From.failures >= 0 && From.timed >= 0 &&
+         From.failures <= From.answers && From.timed <= From.answers &&
+         std::isfinite(From.logSum) && std::isfinite(From.logSquares) &&
+         std::abs(From.logSum) <= MaxLog * From.timed && From.logSquares >= 0 &&
+         From.logSquares <= MaxLog * MaxLog * From.timed;
+}
+
+/// Greatest number of a step, far above those in use.
+constexpr int32_t MaxRolloutStep = 100;
+
+bool isValid(const wire::RolloutCounts &From) {
+  return From.received >= 0 && From.sent >= 0 && From.oldInFlight >= 0 &&
+         From.step >= 0 && From.step <= MaxRolloutStep &&
+         From.routes.size() <= MaxRolloutRoutes &&
+         std::all_of(
+             From.routes.begin(), From.routes.end(),
+             [](const wire::RolloutRoute &Each) { return isValid(Each); });
+}
+
+RolloutCounts fromWire(wire::RolloutCounts &From) {
+  RolloutCounts Output;
+  Output.m_Service = std::move(From.serviceName);
+  Output.m_Version = std::move(From.version);
+  Output.m_Age = std::chrono::milliseconds(std::max(0, From.ageMillis));
+  Output.m_Received = static_cast<uint32_t>(From.received);
+  Output.m_Sent = static_cast<uint32_t>(From.sent);
+  Output.m_OldInFlight = static_cast<uint32_t>(From.oldInFlight);
+  Output.m_Step = static_cast<uint32_t>(From.step);
+  for (const wire::RolloutRoute &Each : From.routes)
+    Output.m_Routes.push_back({static_cast<uint32_t>(Each.route), Each.old,
+                               static_cast<uint32_t>(Each.answers),
+                               static_cast<uint32_t>(Each.failures),
+                               static_cast<uint32_t>(Each.timed), Each.logSum,
+                               Each.logSquares});
+  return Output;
+}
+
+wire::RolloutVerdict toWire(const RolloutVerdict &From) {
+  wire::RolloutVerdict Output;
+  Output.serviceName = From.m_Service;
+  Output.version = From.m_Version;
+  Output.state = static_cast<int8_t>(From.m_State);
+  Output.step = toInt32(From.m_Step);
+  Output.sharePermille =
+      static_cast<int16_t>(std::clamp(From.m_Share, 0.0, 1.0) * 1000);
+  Output.ageMillis = toMillis32(From.m_Age);
+  if (From.m_IsStored)
+    Output.__set_stored(true);
+  return Output;
+}
+
+bool isValid(const wire::RolloutVerdict &From) {
+  constexpr int8_t LastState = 2;
+  return From.state >= 0 && From.state <= LastState && From.step >= 0 &&
+         From.step <= MaxRolloutStep && From.sharePermille >= 0 &&
+         From.sharePermille <= 1000;
+}
+
+RolloutVerdict fromWire(wire::RolloutVerdict &From) {
+  return {std::move(From.serviceName),
+          std::move(From.version),
+          static_cast<uint32_t>(From.state),
+          static_cast<uint32_t>(From.step),
+          From.sharePermille / 1000.0,
+          std::chrono::milliseconds(std::max(0, From.ageMillis)),
+          From.__isset.stored && From.stored};
+}
+
 /// Encodes a message with the compact protocol.
 template <typename Message> std::string encode(const Message &From) {
   auto Buffer = std::make_shared<TMemoryBuffer>();
@@ -434,6 +533,16 @@
   } else if (Message.m_ShouldPassOn) {
     Output.__set_passOn(wire::PassOn());
   }
+  if (!Message.m_RolloutCounts.empty()) {
+    Output.__isset.rolloutCounts = true;
+    for (const RolloutCounts &Each : Message.m_RolloutCounts)
+      Output.rolloutCounts.push_back(toWire(Each));
+  }
+  if (!Message.m_RolloutVerdicts.empty()) {
+    Output.__isset.rolloutVerdicts = true;
+    for (const RolloutVerdict &Each : Message.m_RolloutVerdicts)
+      Output.rolloutVerdicts.push_back(toWire(Each));
+  }
   return encode(Output);
 }
 
@@ -494,6 +603,12 @@
                        Read.passOn.sequence};
   else
     Output.m_ShouldPassOn = Read.__isset.passOn;
+  for (wire::RolloutCounts &Each : Read.rolloutCounts)
+    if (isValid(Each))
+      Output.m_RolloutCounts.push_back(fromWire(Each));
+  for (wire::RolloutVerdict &Each : Read.rolloutVerdicts)
+    if (isValid(Each))
+      Output.m_RolloutVerdicts.push_back(fromWire(Each));
   return Output;
 }
 
