--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -708,3 +708,52 @@
     CHECK(Mean < 1.2 * Wanted);
   }
 }
+
+// Guards against counts of another VM that decide about a version by
+// themselves.
+TEST_CASE(
+    "counts and verdicts of roll-outs survive encoding if they are valid") {
+  fleet::RolloutCounts Counts{
+      "service", "v2", 2s, 100, 7, 3, 1, {{17, true, 90, 2, 88, -4.5, 12.25}}};
+  fleet::RolloutVerdict Verdict{"service", "v2", 2, 1, 0.25, 3s, true};
+  fleet::Datagram Sent;
+  Sent.m_RolloutCounts = {Counts};
+  Sent.m_RolloutVerdicts = {Verdict};
+  auto Read = fleet::decodeDatagram(fleet::encodeDatagram(Sent));
+  REQUIRE(Read);
+  REQUIRE(Read.value().m_RolloutCounts.size() == 1);
+  const fleet::RolloutCounts &Told = Read.value().m_RolloutCounts[0];
+  CHECK(Told.m_Service == "service");
+  CHECK(Told.m_Version == "v2");
+  CHECK(Told.m_Age == 2s);
+  CHECK(Told.m_Received == 100);
+  CHECK(Told.m_Sent == 7);
+  CHECK(Told.m_OldInFlight == 3);
+  CHECK(Told.m_Step == 1);
+  REQUIRE(Told.m_Routes.size() == 1);
+  CHECK(Told.m_Routes[0].m_Route == 17);
+  CHECK(Told.m_Routes[0].m_IsOld);
+  CHECK(Told.m_Routes[0].m_Failures == 2);
+  CHECK(Told.m_Routes[0].m_LogSum == -4.5);
+  CHECK(Told.m_Routes[0].m_LogSquares == 12.25);
+  REQUIRE(Read.value().m_RolloutVerdicts.size() == 1);
+  CHECK(Read.value().m_RolloutVerdicts[0].m_State == 2);
+  CHECK(Read.value().m_RolloutVerdicts[0].m_Share == 0.25);
+  CHECK(Read.value().m_RolloutVerdicts[0].m_IsStored);
+
+  auto IsDropped = [&](const fleet::RolloutRoute &Route) {
+    Counts.m_Routes = {Route};
+    Sent.m_RolloutCounts = {Counts};
+    auto Decoded = fleet::decodeDatagram(fleet::encodeDatagram(Sent));
+    return Decoded && Decoded.value().m_RolloutCounts.empty();
+  };
+  CHECK(IsDropped({17, true, 90, 91, 0, 0, 0}));
+  CHECK(IsDropped({17, true, 90, 0, 91, 0, 0}));
+  CHECK(IsDropped({17, true, 90, 0, 1, 1e9, 0}));
+  CHECK(IsDropped({17, true, 90, 0, 1, 0, -1}));
+  CHECK(IsDropped({17, true, 90, 0, 1, std::nan(""), 0}));
+  Sent.m_RolloutVerdicts[0].m_State = 3;
+  auto Decoded = fleet::decodeDatagram(fleet::encodeDatagram(Sent));
+  REQUIRE(Decoded);
+  CHECK(Decoded.value().m_RolloutVerdicts.empty());
+}
