--- a/libs/dispatch/tests/ChoiceTest.cpp
+++ b/libs/dispatch/tests/ChoiceTest.cpp
@@ -400,3 +400,21 @@
   CHECK(isCold(Target, DispatchPolicy(), Start));
   CHECK_FALSE(upsertServer(View, Again, Start));
 }
+
+// Guards against calls that go to servers which a roll-out excludes.
+TEST_CASE("a filter restricts the servers that a call may be sent to") {
+  ServerView View = makeView({{"a"}, {"b"}});
+  ServerFilter OnlyB = [](const Server &Each) {
+    return Each.m_Record.m_Id == "b";
+  };
+  ServerFilter None = [](const Server &) { return false; };
+  CallInputs Call = freshCall();
+  Call.m_Admits = &OnlyB;
+  for (int I = 0; I < 10; ++I) {
+    Choice Made = decide(View, Call);
+    REQUIRE(Made.m_Server);
+    CHECK(Made.m_Server->m_Record.m_Id == "b");
+  }
+  Call.m_Admits = &None;
+  CHECK(decide(View, Call).m_Verdict != Verdict::Send);
+}
