--- a/libs/gateway/include/hyssopcross/gateway/PlatformCodec.h
+++ b/libs/gateway/include/hyssopcross/gateway/PlatformCodec.h
@@ -5,6 +5,7 @@
 #include "hyssopcross/discovery/Table.h"
 #include "hyssopcross/dispatch/Servers.h"
 #include "hyssopcross/http/Message.h"
+#include "hyssopcross/rollout/Rollout.h"
 #include "hyssopcross/routing/Routes.h"
 #include <functional>
 #include <optional>
@@ -52,6 +53,15 @@
 struct OperatorRow {
   std::optional<routing::Configuration> m_Configuration;
   std::optional<DisabledDataCentre> m_DisabledDataCentre;
+  std::optional<rollout::Order> m_Rollout;
+};
+
+/// State of a roll-out as the store holds it.
+struct RolloutStatus {
+  rollout::State m_State = rollout::State::Running;
+  std::string m_To;
+  /// Version of the row; 0 if there is none.
+  uint64_t m_RowVersion = 0;
 };
 
 enum class FollowedTable { Operator, Servers };
@@ -109,6 +119,10 @@
   /// returns to service.
   std::function<std::optional<DisabledDataCentre>(std::string_view Key)>
       m_DecodeOperatorKey;
+  /// Decodes the key of a removed operators' row to the service whose roll-out
+  /// is withdrawn.
+  std::function<std::optional<std::string>(std::string_view Key)>
+      m_DecodeRolloutKey;
   std::function<Result<dispatch::ServerRecord>(const discovery::Row &)>
       m_DecodeServerRow;
 
@@ -119,6 +133,18 @@
       m_EncodeWatch;
   std::function<http::Request(std::string_view From)> m_EncodeListVms;
   std::function<http::Request(const std::string &Host)> m_EncodeRegisterVm;
+  std::function<http::Request(const std::string &Service)> m_EncodeReadRollout;
+  /// Writes the state of a roll-out if the row still has the given version.
+  std::function<http::Request(const std::string &Service,
+                              const RolloutStatus &Status)>
+      m_EncodeWriteRollout;
+  /// Decodes the state of a roll-out from a response to m_EncodeReadRollout.
+  /// The row version is 0 if there is no row, and the state is Running if the
+  /// row cannot be decoded. Empty if the response contains no rows of the
+  /// store.
+  std::function<std::optional<RolloutStatus>(const http::Response &,
+                                             const std::string &Service)>
+      m_DecodeRollout;
   /// The era of the decoded rows is left zero; m_DecodeEra returns it.
   std::function<boost::outcome_v2::result<discovery::RowBatch, StoreFailure,
                                           boost::outcome_v2::policy::terminate>(
--- a/libs/gateway/include/hyssopcross/gateway/Settings.h
+++ b/libs/gateway/include/hyssopcross/gateway/Settings.h
@@ -6,6 +6,7 @@
 #include "hyssopcross/dispatch/Budget.h"
 #include "hyssopcross/dispatch/Policy.h"
 #include "hyssopcross/fleet/Membership.h"
+#include "hyssopcross/rollout/Rollout.h"
 #include <string>
 #include <vector>
 
@@ -48,6 +49,7 @@
   dispatch::RetryAllowance m_Repeats;
   dispatch::DispatchPolicy m_Dispatch;
   fleet::FleetPolicy m_FleetPolicy;
+  rollout::RolloutPolicy m_Rollout;
 };
 
 } // namespace hyssopcross::gateway
