Move a service to another version as operators order

The host counts requests and answers by version and route, tells the VMs first in rank, restricts calls by the version of their servers, and writes the status. The bounds are optional settings.

--- a/libs/gateway/src/CallAttempts.cpp
+++ b/libs/gateway/src/CallAttempts.cpp
@@ -53,6 +53,10 @@
         Work,
         dispatch::reportedSlowdown(To, m_State.m_Settings.m_Dispatch, Now) /
             100);
+  Which->m_Counted = {
+      Of->m_Service, To.m_Record.m_Version, Of->m_Route->m_Name,
+      scale(Made.m_Estimate, 1 / std::max(0.1, To.m_ServiceTimeRatio))};
+  m_Rollouts.attemptStarted(Which->m_Counted);
   Of->m_Last = Made;
   Of->m_Last.m_Server = nullptr;
   Of->m_Tried.push_back(To.m_Record.m_Id);
@@ -285,6 +289,25 @@
   return Made;
 }
 
+RolloutHost::AttemptResult
+CallDispatcher::resultFor(const ExchangeOutcome &How,
+                          const http::ExchangeResult &Result) {
+  // These statuses guarantee that the request has not run.
+  constexpr unsigned NotRunStatuses[] = {408, 421, 429, 503};
+  unsigned Status = How.m_IsAnswer ? Result.m_Answer.result_int() : 0;
+  bool IsRefusal = std::count(std::begin(NotRunStatuses),
+                              std::end(NotRunStatuses), Status) > 0;
+  if (How.m_NotRun || IsRefusal)
+    return RolloutHost::AttemptResult::Unknown;
+  if (How.m_IsGood)
+    return RolloutHost::AttemptResult::Answered;
+  // A server that closes the connection instead of answering has failed; other
+  // ends may be those of the link.
+  if (How.m_IsSigned || Result.m_ClosedByServer)
+    return RolloutHost::AttemptResult::Failed;
+  return RolloutHost::AttemptResult::Unknown;
+}
+
 bool CallDispatcher::hadFreeSlot(const Attempt &Which,
                                  const http::Response &Refusal) const {
   auto Found = m_State.m_Servers.m_Servers.find(Which.m_Server);
@@ -309,6 +332,8 @@
   else if (How.m_IsAnswer && How.m_NotRun)
     End = dispatch::AttemptEnd::Shed;
   recordOutcome(Of, *Which, Result, End);
+  m_Rollouts.attemptEnded(Which->m_Counted, resultFor(How, Result),
+                          m_State.now() - Which->m_SentAt);
   if (Result.m_End == http::ExchangeEnd::NotSent)
     --Of->m_Arrivals;
   Of->m_MayHaveRun = Of->m_MayHaveRun || !How.m_NotRun;
@@ -363,6 +388,9 @@
     Each->m_Ended = true;
     Each->m_Call->cancel();
     Each->m_Call.reset();
+    m_Rollouts.attemptEnded(Each->m_Counted,
+                            RolloutHost::AttemptResult::Unknown,
+                            m_State.now() - Each->m_SentAt);
     auto Found = m_State.m_Servers.m_Servers.find(Each->m_Server);
     if (Found == m_State.m_Servers.m_Servers.end())
       continue;
--- a/libs/gateway/src/CallDispatcher.cpp
+++ b/libs/gateway/src/CallDispatcher.cpp
@@ -35,8 +35,8 @@
 } // namespace
 
 CallDispatcher::CallDispatcher(NodeState &State, FleetMessenger &Fleet,
-                               HealthChecker &Health)
-    : m_State(State), m_Fleet(Fleet),
+                               HealthChecker &Health, RolloutHost &Rollouts)
+    : m_State(State), m_Fleet(Fleet), m_Rollouts(Rollouts),
       m_OwnsWarmup([&Health](const dispatch::Server &Each) {
         return Health.ownsWarmup(Each);
       }) {}
@@ -117,6 +117,7 @@
                                              expectedServiceTime(*Route));
   Made->m_QueueUntil =
       Now + scale(Slack, m_State.m_Settings.m_Dispatch.m_QueueShare);
+  Made->m_IsTrial = m_Rollouts.takeRequest(Made->m_Service);
   m_Budgets[Made->m_Service].recordRequest(Now);
   m_Calls.insert(Made);
   Asked->onPeerGone([this, Made] { callerDisconnected(Made); });
@@ -160,6 +161,8 @@
   if (auto Known = m_PromisedAt.find(Of->m_Service);
       Known != m_PromisedAt.end())
     Inputs.m_PromisedAt = Known->second;
+  Inputs.m_Admits =
+      m_Rollouts.filterOf(Of->m_Service, Of->m_IsTrial, Of->m_Attempts.empty());
   return Inputs;
 }
 
@@ -180,6 +183,11 @@
   dispatch::Choice Made = dispatch::choose(
       m_State.m_Servers, m_State.m_Settings.m_Dispatch, Inputs, m_OwnsWarmup,
       warmupRate(Of->m_Service), m_State.m_Random, Now);
+  if (Of->m_IsTrial && Made.m_Verdict != dispatch::Verdict::Send &&
+      m_Rollouts.hasFallback(Of->m_Service)) {
+    Of->m_IsTrial = false;
+    return decide(Of);
+  }
   bool IsFresh = Of->m_ObjectiveAt - Now > Inputs.m_Work;
   if (Made.m_Verdict != dispatch::Verdict::Send && IsFresh)
     m_OverloadedUntil[Of->m_Service] =
--- a/libs/gateway/src/CallDispatcher.h
+++ b/libs/gateway/src/CallDispatcher.h
@@ -4,6 +4,7 @@
 #include "FleetMessenger.h"
 #include "HealthChecker.h"
 #include "NodeState.h"
+#include "RolloutHost.h"
 #include "hyssopcross/dispatch/Budget.h"
 #include "hyssopcross/dispatch/Choice.h"
 #include "hyssopcross/dispatch/Work.h"
@@ -17,8 +18,8 @@
 /// Forwards callers' requests to backend servers and returns the responses.
 class CallDispatcher {
 public:
-  CallDispatcher(NodeState &State, FleetMessenger &Fleet,
-                 HealthChecker &Health);
+  CallDispatcher(NodeState &State, FleetMessenger &Fleet, HealthChecker &Health,
+                 RolloutHost &Rollouts);
 
   /// Accepts a request.
   void begin(const std::shared_ptr<http::Exchange> &Asked);
@@ -57,6 +58,7 @@
     /// this one.
     uint32_t m_InFlight = 1;
     bool m_Ended = false;
+    RolloutHost::SentAttempt m_Counted;
   };
 
   struct Call {
@@ -86,6 +88,8 @@
     bool m_IsQueued = false;
     bool m_HedgeConsidered = false;
     bool m_Ended = false;
+    /// To be sent to the version under trial, if that can take it.
+    bool m_IsTrial = false;
     /// The caller has disconnected, and its attempt continues.
     bool m_ContinueAfterDisconnect = false;
     std::unique_ptr<boost::asio::steady_timer> m_Timer;
@@ -108,6 +112,9 @@
     std::string m_Name;
   };
   ExchangeOutcome classify(const http::ExchangeResult &Result) const;
+  /// What an exchange shows of the version of its server.
+  static RolloutHost::AttemptResult
+  resultFor(const ExchangeOutcome &How, const http::ExchangeResult &Result);
   /// Whether a server that rejected an attempt had a free slot, by the load
   /// reported in the rejection, or else by the number of requests known to be
   /// in flight.
@@ -167,6 +174,7 @@
 
   NodeState &m_State;
   FleetMessenger &m_Fleet;
+  RolloutHost &m_Rollouts;
   dispatch::WarmupOwner m_OwnsWarmup;
   std::set<CallRef> m_Calls;
   /// Queued requests of each service, in order of arrival.
--- a/libs/gateway/src/DiscoveryClient.cpp
+++ b/libs/gateway/src/DiscoveryClient.cpp
@@ -77,8 +77,9 @@
 }
 
 DiscoveryClient::DiscoveryClient(NodeState &State, FleetMessenger &Fleet,
+                                 RolloutHost &Rollouts,
                                  std::function<void()> ConfigurationChanged)
-    : m_State(State), m_Fleet(Fleet),
+    : m_State(State), m_Fleet(Fleet), m_Rollouts(Rollouts),
       m_ConfigurationChanged(std::move(ConfigurationChanged)),
       m_RegisterTimer(State.m_Loop) {
   m_Followers[0].m_Which = FollowedTable::Operator;
--- a/libs/gateway/src/DiscoveryClient.h
+++ b/libs/gateway/src/DiscoveryClient.h
@@ -3,6 +3,7 @@
 
 #include "FleetMessenger.h"
 #include "NodeState.h"
+#include "RolloutHost.h"
 #include "hyssopcross/discovery/CallBackoff.h"
 #include "hyssopcross/http/TimedExchange.h"
 #include <array>
@@ -22,6 +23,7 @@
 class DiscoveryClient {
 public:
   DiscoveryClient(NodeState &State, FleetMessenger &Fleet,
+                  RolloutHost &Rollouts,
                   std::function<void()> ConfigurationChanged);
   /// Cancels the calls in progress.
   ~DiscoveryClient();
@@ -142,6 +144,7 @@
 
   NodeState &m_State;
   FleetMessenger &m_Fleet;
+  RolloutHost &m_Rollouts;
   std::function<void()> m_ConfigurationChanged;
   std::array<Follower, FollowedTableCount> m_Followers;
   /// Whether this VM follows the store, either by its rank or because no other
--- a/libs/gateway/src/DiscoveryRows.cpp
+++ b/libs/gateway/src/DiscoveryRows.cpp
@@ -79,7 +79,10 @@
   bool IsDataCentre =
       m_State.m_PlatformCodec.m_DecodeOperatorKey(Changed.m_Row.m_Key)
           .has_value();
-  if (Changed.m_MayBeOutdated && IsDataCentre)
+  bool IsRollout =
+      m_State.m_PlatformCodec.m_DecodeRolloutKey(Changed.m_Row.m_Key)
+          .has_value();
+  if (Changed.m_MayBeOutdated && (IsDataCentre || IsRollout))
     return defer(m_Followers[0], Changed.m_Row);
   applyOperatorRow(Changed.m_Row);
 }
@@ -117,6 +120,9 @@
 
 void DiscoveryClient::applyOperatorRow(const discovery::Row &Changed) {
   if (Changed.m_Removed) {
+    if (auto Service =
+            m_State.m_PlatformCodec.m_DecodeRolloutKey(Changed.m_Key))
+      return m_Rollouts.onWithdrawal(*Service);
     auto Back = m_State.m_PlatformCodec.m_DecodeOperatorKey(Changed.m_Key);
     if (!Back)
       return;
@@ -137,6 +143,8 @@
               {"outcome", "ignored"}});
     return;
   }
+  if (Read.value().m_Rollout)
+    m_Rollouts.onOrder(*Read.value().m_Rollout);
   if (Read.value().m_DisabledDataCentre) {
     const std::string &Name = Read.value().m_DisabledDataCentre->m_DataCentre;
     dispatch::setDataCentreDisabled(m_State.m_Servers, Name, true);
--- a/libs/gateway/src/FleetMessenger.cpp
+++ b/libs/gateway/src/FleetMessenger.cpp
@@ -440,6 +440,8 @@
     m_Handlers.m_OnFollowing(*Message.m_Following, Origin);
   for (const fleet::TableRows &Each : Message.m_Rows)
     m_Handlers.m_OnTableRows(Each);
+  if (!Message.m_RolloutCounts.empty() || !Message.m_RolloutVerdicts.empty())
+    m_Handlers.m_OnRollout(Message, Host);
   applyLimits(Message);
   applySuspects(Message);
   for (const fleet::ServerLeaving &Each : Message.m_Leaving)
@@ -615,6 +617,21 @@
       send(Bytes, Host, Kind);
 }
 
+void FleetMessenger::sendRolloutCounts(const fleet::RolloutCounts &Counts,
+                                       const std::vector<std::string> &Hosts) {
+  fleet::Datagram News = newDatagram();
+  News.m_RolloutCounts.push_back(Counts);
+  std::string Bytes = fleet::encodeDatagram(News);
+  for (const std::string &Host : Hosts)
+    send(Bytes, Host);
+}
+
+void FleetMessenger::sendRolloutVerdict(const fleet::RolloutVerdict &Verdict) {
+  fleet::Datagram News = newDatagram();
+  News.m_RolloutVerdicts.push_back(Verdict);
+  sendToAll(fleet::encodeDatagram(News));
+}
+
 void FleetMessenger::scheduleCheckUpdates() {
   if (std::exchange(m_CheckUpdatesScheduled, true))
     return;
--- a/libs/gateway/src/FleetMessenger.h
+++ b/libs/gateway/src/FleetMessenger.h
@@ -27,6 +27,9 @@
     /// Returns this VM's own progress in following the store; absent if it does
     /// not follow it.
     std::function<std::optional<fleet::Following>()> m_GetOwnFollowing;
+    /// Called when another VM sent counts or verdicts of roll-outs.
+    std::function<void(const fleet::Datagram &, const std::string &Host)>
+        m_OnRollout;
   };
 
   FleetMessenger(NodeState &State, Handlers To);
@@ -61,6 +64,11 @@
   void queueLeaving(const std::string &Server, int64_t Incarnation);
   /// Queues for all VMs what is known of a request that may crash servers.
   void queueSuspect(dispatch::RequestFingerprint Request);
+  /// Sends what this VM has counted of a roll-out to the VMs that decide.
+  void sendRolloutCounts(const fleet::RolloutCounts &Counts,
+                         const std::vector<std::string> &Hosts);
+  /// Sends a step or an outcome of a roll-out to all VMs at once.
+  void sendRolloutVerdict(const fleet::RolloutVerdict &Verdict);
   /// Notifies all VMs that the store has just answered this one.
   void sendStoreConfirmation();
   /// Forwards rows to all VMs. If they do not fit in a datagram, only announces
--- a/libs/gateway/src/Node.cpp
+++ b/libs/gateway/src/Node.cpp
@@ -3,6 +3,7 @@
 #include "DiscoveryClient.h"
 #include "FleetMessenger.h"
 #include "HealthChecker.h"
+#include "RolloutHost.h"
 #include "hyssopcross/base/Log.h"
 #include "hyssopcross/http/Listener.h"
 #include <charconv>
@@ -51,15 +52,20 @@
                  [this](const fleet::Following &News, const std::string &Host) {
                    m_Discovery.applyPeerFollowing(News, Host);
                  },
-                 [this] { return m_Discovery.ownFollowing(); }}),
+                 [this] { return m_Discovery.ownFollowing(); },
+                 [this](const fleet::Datagram &News, const std::string &Host) {
+                   m_Rollouts.onMessage(News, Host);
+                 }}),
+        m_Rollouts(m_State, m_Fleet),
         m_Health(m_State,
                  [this](const CheckUpdate &News) {
                    if (News.m_Result != dispatch::CheckResult::Known)
                      m_Fleet.queueCheckUpdate(News);
                    onServerUpdate(News.m_Server);
                  }),
-        m_Calls(m_State, m_Fleet, m_Health),
-        m_Discovery(m_State, m_Fleet, [this] { configurationChanged(); }),
+        m_Calls(m_State, m_Fleet, m_Health, m_Rollouts),
+        m_Discovery(m_State, m_Fleet, m_Rollouts,
+                    [this] { configurationChanged(); }),
         m_Callers(Loop, Time, [this](auto Asked) { m_Calls.begin(Asked); }),
         m_Readiness(Loop, Time, [this](auto Asked) { answerReadiness(Asked); }),
         m_Directory(Loop, Time, [this](auto Asked) { answerDirectory(Asked); }),
@@ -79,6 +85,7 @@
 
   NodeState m_State;
   FleetMessenger m_Fleet;
+  RolloutHost m_Rollouts;
   HealthChecker m_Health;
   CallDispatcher m_Calls;
   DiscoveryClient m_Discovery;
@@ -207,6 +214,7 @@
   m_Internal.sweep();
   m_State.m_Client.sweep();
   m_Discovery.sweep();
+  m_Rollouts.sweep(m_Discovery.era());
   m_Calls.confirmCrashes();
   updateReadiness();
   if (m_State.now() - m_ModelsLoggedAt >= ModelLogInterval) {
@@ -290,6 +298,7 @@
   Own.m_Repeats = Given.m_Repeats;
   Own.m_Dispatch = Given.m_Dispatch;
   Own.m_FleetPolicy = Given.m_FleetPolicy;
+  Own.m_Rollout = Given.m_Rollout;
   logEvent(LogLevel::Info, "reloaded", {{"name", Own.m_Name}});
 }
 
--- a/tools/hyssopcross-entry/Flags.cpp
+++ b/tools/hyssopcross-entry/Flags.cpp
@@ -37,6 +37,13 @@
               "interval between health checks of a server");
 DEFINE_double(health_checks_per_s_max, 60,
               "maximum health checks per second of one server");
+DEFINE_double(rollout_expose_share, 0.1,
+              "share of a service's requests that a version may get before it "
+              "is found to be good");
+DEFINE_double(rollout_expose_slack, 50,
+              "requests that do not count against --rollout_expose_share");
+DEFINE_double(rollout_rollback_s, 5,
+              "maximum seconds until a bad version gets no more requests");
 DEFINE_bool(queue, true, "queue requests until a server is available");
 DEFINE_bool(refuse_hopeless, true,
             "reject requests that cannot be served in time");
@@ -71,6 +78,9 @@
       {"repeat_slack", FLAGS_repeat_slack, 0, 1e6},
       {"health_interval_ms", FLAGS_health_interval_ms, 5, 60000},
       {"health_checks_per_s_max", FLAGS_health_checks_per_s_max, 0.1, 1e6},
+      {"rollout_expose_share", FLAGS_rollout_expose_share, 0, 1},
+      {"rollout_expose_slack", FLAGS_rollout_expose_slack, 0, 1e9},
+      {"rollout_rollback_s", FLAGS_rollout_rollback_s, 0.1, 3600},
       {"fleet_port", static_cast<double>(FLAGS_fleet_port), 1, 65535},
       {"internal_port", static_cast<double>(FLAGS_internal_port), 1, 65535},
       {"core_share", FLAGS_core_share, 0.001, 1024},
@@ -144,6 +154,9 @@
       std::max(FLAGS_health_interval_ms / 1000,
                MaxConcurrentCheckers / FLAGS_health_checks_per_s_max));
   Values.m_Repeats.m_Use = Values.m_Dispatch.m_BudgetUse;
+  Values.m_Rollout.m_ExposeShare = FLAGS_rollout_expose_share;
+  Values.m_Rollout.m_ExposeSlack = FLAGS_rollout_expose_slack;
+  Values.m_Rollout.m_RollbackTime = fromSeconds(FLAGS_rollout_rollback_s);
   Values.m_Dispatch.m_Queue = FLAGS_queue;
   Values.m_Dispatch.m_RefuseHopeless = FLAGS_refuse_hopeless;
   Values.m_Dispatch.m_ServeLate = FLAGS_serve_late;
