End store calls of roll-outs with their node; count their datagrams by kind

A call that outlived its node would have called into it. Outcomes read from the store are announced by their writer only, instead of by every VM.

--- a/libs/fleet/include/hyssopcross/fleet/Datagram.h
+++ b/libs/fleet/include/hyssopcross/fleet/Datagram.h
@@ -151,8 +151,9 @@
   Leaving,
   Suspects,
   PassedOn,
+  Rollouts,
 };
-inline constexpr size_t DatagramKindCount = 13;
+inline constexpr size_t DatagramKindCount = 14;
 
 /// The name of a kind in metrics.
 std::string_view kindName(DatagramKind Kind);
--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -424,6 +424,8 @@
     return "leaving";
   case DatagramKind::Suspects:
     return "suspects";
+  case DatagramKind::Rollouts:
+    return "rollouts";
   case DatagramKind::PassedOn:
     return "passed_on";
   }
--- a/libs/gateway/src/FleetMessenger.cpp
+++ b/libs/gateway/src/FleetMessenger.cpp
@@ -623,13 +623,13 @@
   News.m_RolloutCounts.push_back(Counts);
   std::string Bytes = fleet::encodeDatagram(News);
   for (const std::string &Host : Hosts)
-    send(Bytes, Host);
+    send(Bytes, Host, DatagramKind::Rollouts);
 }
 
 void FleetMessenger::sendRolloutVerdict(const fleet::RolloutVerdict &Verdict) {
   fleet::Datagram News = newDatagram();
   News.m_RolloutVerdicts.push_back(Verdict);
-  sendToAll(fleet::encodeDatagram(News));
+  sendToAll(fleet::encodeDatagram(News), DatagramKind::Rollouts);
 }
 
 void FleetMessenger::scheduleCheckUpdates() {
--- a/libs/gateway/src/RolloutHost.cpp
+++ b/libs/gateway/src/RolloutHost.cpp
@@ -25,8 +25,9 @@
 /// not hold yet: the first one may not reach the store.
 constexpr Duration WriterStep = std::chrono::seconds(1);
 constexpr uint32_t MaxWriterRank = 10;
-/// An order that arrives within this time after the start was in force before.
-constexpr Duration StartTime = std::chrono::seconds(4);
+/// An order that arrives within this time after the start may have been in
+/// force before.
+constexpr Duration StartTime = std::chrono::seconds(30);
 /// Time within which the reads of the VMs that need the state are spread.
 constexpr Duration ReadSpread = std::chrono::milliseconds(500);
 /// A VM that was frozen for this long has lost its duties.
@@ -45,6 +46,13 @@
   return static_cast<uint32_t>(std::min<uint64_t>(Count, INT32_MAX));
 }
 
+/// Whether the other VMs do not learn of a step or an outcome from where this
+/// VM did.
+bool isOwnFinding(const rollout::Rollout &Of) {
+  std::string_view Why = Of.m_Why;
+  return Why != "announced" && Why != "stored";
+}
+
 void addRoute(fleet::RolloutCounts &To, uint32_t Route, bool IsOld,
               const rollout::Counts &From) {
   if (From.m_Answers > 0)
@@ -58,6 +66,17 @@
 RolloutHost::RolloutHost(NodeState &State, FleetMessenger &Fleet)
     : m_State(State), m_Fleet(Fleet) {}
 
+RolloutHost::~RolloutHost() {
+  for (const auto &[Service, Each] : m_Active)
+    dropCall(*Each);
+}
+
+void RolloutHost::dropCall(Active &Of) {
+  if (Of.m_Call)
+    Of.m_Call->cancel();
+  Of.m_Call.reset();
+}
+
 void RolloutHost::onOrder(const rollout::Order &Given) {
   auto Found = m_Active.find(Given.m_Service);
   if (Found != m_Active.end()) {
@@ -73,8 +92,7 @@
       logState(Known, "rollout_outcome");
     if (Known.m_Rollout.m_State == State::RolledBack)
       m_RolledBack[Given.m_Service].insert(Known.m_Rollout.m_Order.m_To);
-    if (Known.m_Call)
-      Known.m_Call->cancel();
+    dropCall(Known);
     m_Active.erase(Found);
   }
   begin(Given);
@@ -128,8 +146,7 @@
     return onChange(Of);
   // The filter of a completed roll-out ends with its order.
   if (Of.m_Rollout.m_State == State::Completed) {
-    if (Of.m_Call)
-      Of.m_Call->cancel();
+    dropCall(Of);
     m_Active.erase(Found);
   }
 }
@@ -245,7 +262,7 @@
                       : IsRecent ? OutcomeInterval
                                  : OutcomeReminder;
   bool IsFirst = rankOf(Of) == 0;
-  bool Found = std::string_view(Of.m_Rollout.m_Why) != "announced";
+  bool Found = isOwnFinding(Of.m_Rollout);
   bool Speaks =
       IsRunning ? viewOf(Of).m_Decides : (IsRecent && Found) || IsFirst;
   if (Speaks && Now - Of.m_VerdictSentAt >= Interval)
@@ -267,8 +284,7 @@
                                     : "rollout_step");
   logState(Of, IsOutcome ? "rollout_outcome" : "rollout_step");
   refreshServers(Of);
-  // Other VMs learn of it from the one that has announced it.
-  if (std::string_view(Rollout.m_Why) != "announced")
+  if (isOwnFinding(Rollout))
     sendVerdict(Of);
 }
 
@@ -565,6 +581,9 @@
   }
   if (Of.m_Rollout.m_Step == rollout::LastStep)
     return IsFirstAttempt ? &Of.m_New : &None;
+  // An unknown version is better than none.
+  if (Of.m_OldServers == 0)
+    return nullptr;
   return IsTrial && IsFirstAttempt ? &Of.m_Trial : &Of.m_Others;
 }
 
--- a/libs/gateway/src/RolloutHost.h
+++ b/libs/gateway/src/RolloutHost.h
@@ -18,6 +18,9 @@
 class RolloutHost {
 public:
   RolloutHost(NodeState &State, FleetMessenger &Fleet);
+  ~RolloutHost();
+  RolloutHost(const RolloutHost &) = delete;
+  RolloutHost &operator=(const RolloutHost &) = delete;
 
   /// Begins or changes the roll-out of a service.
   void onOrder(const rollout::Order &Given);
@@ -93,6 +96,8 @@
   using ActiveRef = std::shared_ptr<Active>;
 
   void begin(const rollout::Order &Given);
+  /// Ends a call to the store whose result does not matter any more.
+  static void dropCall(Active &Of);
   void evaluate(Active &Of);
   void refreshServers(Active &Of);
   rollout::FleetView viewOf(const Active &Of) const;
