Shorten the steps of a roll-out with a short deadline

With 10 s, steps of a second ended after the deadline, and a good version was rolled back as not_drained (platform/tests/RolloutTest.cpp).

--- a/libs/rollout/src/Rollout.cpp
+++ b/libs/rollout/src/Rollout.cpp
@@ -15,6 +15,10 @@
 /// Part of the accepting evidence that must be left at each further step, when
 /// many more answers have come in.
 constexpr double ConfirmedPart = 0.5;
+/// Part of the time to the deadline that a step takes if that is less than the
+/// time of a step, and the least that it takes.
+constexpr double StepPart = 0.03;
+constexpr Duration MinStepTime = std::chrono::milliseconds(300);
 /// Interval in which VMs report their counts, for the bound on a burst.
 constexpr double ReportSeconds = 0.5;
 /// Smallest change of the trial share that is announced, relative to it.
@@ -29,6 +33,13 @@
                     Policy.m_MinReserved, Policy.m_MaxReserved);
 }
 
+/// Shortest time of a step; that of a short order is shorter too, since all
+/// steps must end before its deadline.
+Duration stepTime(const Rollout &Of, const RolloutPolicy &Policy) {
+  return std::clamp(scale(Of.m_Order.m_Time, StepPart), MinStepTime,
+                    Policy.m_StepTime);
+}
+
 void addRoutes(std::map<uint32_t, Sides> &To,
                const std::map<uint32_t, Sides> &From) {
   for (const auto &[Route, Each] : From) {
@@ -225,8 +236,8 @@
     return continueTrial(Of, Total, Policy, Now);
   uint64_t Answers = Of.m_Whole.m_Seen.m_New.m_Answers - Of.m_AnswersAtStep;
   // A service with few requests brings few answers in any step.
-  bool IsLong = Now - Of.m_StepAt >= MaxStepTimes * Policy.m_StepTime;
-  if (Now - Of.m_StepAt < Policy.m_StepTime)
+  bool IsLong = Now - Of.m_StepAt >= MaxStepTimes * stepTime(Of, Policy);
+  if (Now - Of.m_StepAt < stepTime(Of, Policy))
     return false;
   // In the last step every request is exposed, so there is no time to wait.
   if (Of.m_Step >= LastStep)
@@ -244,7 +255,7 @@
 bool isDrained(const Rollout &Of, const FleetView &Fleet,
                const RolloutPolicy &Policy, TimePoint Now) {
   if (Of.m_State != State::Running || Of.m_Step != LastStep ||
-      Now - Of.m_StepAt < Policy.m_StepTime ||
+      Now - Of.m_StepAt < stepTime(Of, Policy) ||
       !isGood(Of, ConfirmedPart * Policy.m_Tests.m_Accept))
     return false;
   size_t Drained = 0;
