--- a/libs/gateway/include/hyssopcross/gateway/Settings.h
+++ b/libs/gateway/include/hyssopcross/gateway/Settings.h
@@ -7,6 +7,7 @@
 #include "hyssopcross/dispatch/Policy.h"
 #include "hyssopcross/fleet/Membership.h"
 #include "hyssopcross/quota/Quota.h"
+#include "hyssopcross/rollout/Rollout.h"
 #include <string>
 #include <vector>
 
@@ -50,6 +51,7 @@
   dispatch::DispatchPolicy m_Dispatch;
   fleet::FleetPolicy m_FleetPolicy;
   quota::QuotaPolicy m_Quota;
+  rollout::RolloutPolicy m_Rollout;
 };
 
 } // namespace hyssopcross::gateway
--- a/libs/gateway/src/CallDispatcher.h
+++ b/libs/gateway/src/CallDispatcher.h
@@ -5,6 +5,7 @@
 #include "HealthChecker.h"
 #include "NodeState.h"
 #include "QuotaHost.h"
+#include "RolloutHost.h"
 #include "hyssopcross/dispatch/Budget.h"
 #include "hyssopcross/dispatch/Choice.h"
 #include "hyssopcross/dispatch/Work.h"
@@ -19,7 +20,7 @@
 class CallDispatcher {
 public:
   CallDispatcher(NodeState &State, FleetMessenger &Fleet, QuotaHost &Quotas,
-                 HealthChecker &Health);
+                 HealthChecker &Health, RolloutHost &Rollouts);
 
   /// Accepts a request.
   void begin(const std::shared_ptr<http::Exchange> &Asked);
@@ -59,6 +60,7 @@
     /// this one.
     uint32_t m_InFlight = 1;
     bool m_Ended = false;
+    RolloutHost::SentAttempt m_Counted;
   };
 
   struct Call {
@@ -107,6 +109,8 @@
     bool m_IsQueued = false;
     bool m_HedgeConsidered = false;
     bool m_Ended = false;
+    /// To be sent to the version under trial, if that can take it.
+    bool m_IsTrial = false;
     /// The caller has disconnected, and its attempt continues.
     bool m_ContinueAfterDisconnect = false;
     std::unique_ptr<boost::asio::steady_timer> m_Timer;
@@ -129,6 +133,9 @@
     std::string m_Name;
   };
   ExchangeOutcome classify(const http::ExchangeResult &Result) const;
+  /// What an exchange shows of the version of its server.
+  static RolloutHost::AttemptResult
+  resultFor(const ExchangeOutcome &How, const http::ExchangeResult &Result);
   /// Whether a server that rejected an attempt had a free slot, by the load
   /// reported in the rejection, or else by the number of requests known to be
   /// in flight.
@@ -211,6 +218,7 @@
   NodeState &m_State;
   FleetMessenger &m_Fleet;
   QuotaHost &m_Quotas;
+  RolloutHost &m_Rollouts;
   dispatch::WarmupOwner m_OwnsWarmup;
   std::set<CallRef> m_Calls;
   /// Queued requests of each service, in order of arrival.
--- a/libs/gateway/src/FleetMessenger.h
+++ b/libs/gateway/src/FleetMessenger.h
@@ -30,6 +30,9 @@
     /// Called when another VM sent asks or grants of organisations' quotas.
     std::function<void(const fleet::Datagram &, const std::string &Host)>
         m_OnQuota;
+    /// Called when another VM sent counts or verdicts of roll-outs.
+    std::function<void(const fleet::Datagram &, const std::string &Host)>
+        m_OnRollout;
   };
 
   FleetMessenger(NodeState &State, Handlers To);
@@ -68,6 +71,11 @@
   /// waits for the answer.
   void sendQuota(const std::string &Host, std::vector<quota::Ask> Asks,
                  std::vector<quota::Grant> Grants);
+  /// Sends what this VM has counted of a roll-out to the VMs that decide.
+  void sendRolloutCounts(const fleet::RolloutCounts &Counts,
+                         const std::vector<std::string> &Hosts);
+  /// Sends a step or an outcome of a roll-out to all VMs at once.
+  void sendRolloutVerdict(const fleet::RolloutVerdict &Verdict);
   /// Notifies all VMs that the store has just answered this one.
   void sendStoreConfirmation();
   /// Forwards rows to all VMs. If they do not fit in a datagram, only announces
--- a/libs/gateway/src/Node.cpp
+++ b/libs/gateway/src/Node.cpp
@@ -4,6 +4,7 @@
 #include "FleetMessenger.h"
 #include "HealthChecker.h"
 #include "QuotaHost.h"
+#include "RolloutHost.h"
 #include "hyssopcross/base/Log.h"
 #include "hyssopcross/http/Listener.h"
 #include <charconv>
@@ -55,7 +56,11 @@
                  [this] { return m_Discovery.ownFollowing(); },
                  [this](const fleet::Datagram &News, const std::string &Host) {
                    m_Quotas.receive(News, Host);
+                 },
+                 [this](const fleet::Datagram &News, const std::string &Host) {
+                   m_Rollouts.onMessage(News, Host);
                  }}),
+        m_Rollouts(m_State, m_Fleet),
         m_Health(m_State,
                  [this](const CheckUpdate &News) {
                    if (News.m_Result != dispatch::CheckResult::Known)
@@ -63,8 +68,9 @@
                    onServerUpdate(News.m_Server);
                  }),
         m_Quotas(m_State, m_Fleet),
-        m_Calls(m_State, m_Fleet, m_Quotas, m_Health),
-        m_Discovery(m_State, m_Fleet, [this] { configurationChanged(); }),
+        m_Calls(m_State, m_Fleet, m_Quotas, m_Health, m_Rollouts),
+        m_Discovery(m_State, m_Fleet, m_Rollouts,
+                    [this] { configurationChanged(); }),
         m_Callers(Loop, Time, [this](auto Asked) { m_Calls.begin(Asked); }),
         m_Readiness(Loop, Time, [this](auto Asked) { answerReadiness(Asked); }),
         m_Directory(Loop, Time, [this](auto Asked) { answerDirectory(Asked); }),
@@ -86,6 +92,7 @@
 
   NodeState m_State;
   FleetMessenger m_Fleet;
+  RolloutHost m_Rollouts;
   HealthChecker m_Health;
   QuotaHost m_Quotas;
   CallDispatcher m_Calls;
@@ -229,6 +236,7 @@
   m_Internal.sweep();
   m_State.m_Client.sweep();
   m_Discovery.sweep();
+  m_Rollouts.sweep(m_Discovery.era());
   m_Calls.confirmCrashes();
   m_Quotas.upkeep();
   updateReadiness();
@@ -314,6 +322,7 @@
   Own.m_Dispatch = Given.m_Dispatch;
   Own.m_FleetPolicy = Given.m_FleetPolicy;
   Own.m_Quota = Given.m_Quota;
+  Own.m_Rollout = Given.m_Rollout;
   logEvent(LogLevel::Info, "reloaded", {{"name", Own.m_Name}});
 }
 
