--- a/libs/faultsoak/include/hyssopcross/faultsoak/VmProcess.h
+++ b/libs/faultsoak/include/hyssopcross/faultsoak/VmProcess.h
@@ -26,6 +26,8 @@
   /// The wait status of a process that has ended since it was last asked for.
   std::optional<int> takeEnd();
   bool isRunning() const { return m_Id > 0; }
+  /// Process id; zero while no process runs.
+  pid_t id() const { return m_Id; }
 
 private:
   std::vector<std::string> m_Arguments;
