Strict framing and bounded memory for the input of clients

Done: heads are checked by line, chunked bodies are read with a bound on extensions and trailers, which are dropped, and bodies count until their requests are answered. A free slot in the pipeline resumes parsing. Exceptions end only their connection, also of connections to servers. MaxHeaderBytes is capped at 65,535, with a log line. Refusals are counted by cause and logged at most once a second for each.

--- a/libs/gateway/src/Metrics.cpp
+++ b/libs/gateway/src/Metrics.cpp
@@ -39,6 +39,11 @@
           .Name("hyssopcross_attempt_seconds")
           .Help("Attempts at backend servers by how they ended")
           .Register(m_Registry);
+  prometheus::Family<prometheus::Counter> &m_ClientsRefused =
+      prometheus::BuildCounter()
+          .Name("hyssopcross_client_refused_total")
+          .Help("Refused input of clients by cause")
+          .Register(m_Registry);
   prometheus::Family<prometheus::Counter> &m_Events =
       prometheus::BuildCounter()
           .Name("hyssopcross_events_total")
@@ -72,6 +77,10 @@
       .Observe(toSeconds(Took));
 }
 
+void Metrics::noteClientRefused(std::string_view Cause) {
+  m_Series->m_ClientsRefused.Add({{"cause", std::string(Cause)}}).Increment();
+}
+
 void Metrics::count(std::string_view What) {
   // Cache the counters: datagrams are counted many times a second, and building
   // the labels each time would cost more than sending them.
--- a/libs/gateway/src/Metrics.h
+++ b/libs/gateway/src/Metrics.h
@@ -22,6 +22,8 @@
   /// Records an attempt at a backend server. End is the stable name of its
   /// outcome.
   void noteAttempt(std::string_view End, Duration Took);
+  /// Counts input of a client that was refused before a request was known.
+  void noteClientRefused(std::string_view Cause);
   /// Increments the counter of an event.
   void count(std::string_view What);
   /// Sets the current value of a named gauge.
--- a/libs/gateway/src/Node.cpp
+++ b/libs/gateway/src/Node.cpp
@@ -6,6 +6,7 @@
 #include "hyssopcross/base/Log.h"
 #include "hyssopcross/http/Listener.h"
 #include <charconv>
+#include <map>
 
 namespace hyssopcross::gateway {
 
@@ -36,6 +37,11 @@
 /// Divisor of the process's memory limit: request bodies may take one part in
 /// this many.
 constexpr uint64_t BodyMemoryShare = 4;
+/// Retry-After of a request that is refused for lack of memory; bodies are read
+/// and answered within about this time.
+constexpr unsigned MemoryRetrySeconds = 1;
+/// Interval between two log lines of refused input with the same cause.
+constexpr Duration FaultLogInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -64,7 +70,18 @@
         m_Readiness(Loop, Time, [this](auto Asked) { answerReadiness(Asked); }),
         m_Directory(Loop, Time, [this](auto Asked) { answerDirectory(Asked); }),
         m_Internal(Loop, Time, [this](auto Asked) { answerInternal(Asked); }),
-        m_UpkeepTimer(Loop) {}
+        m_UpkeepTimer(Loop) {
+    m_Callers.setRefusal([this](unsigned Status) { return refusal(Status); });
+    for (http::Listener *Each :
+         {&m_Callers, &m_Readiness, &m_Directory, &m_Internal})
+      Each->setFaultObserver(
+          [this](http::InputFault Fault, std::string_view Detail) {
+            noteFault(Fault, Detail);
+          });
+  }
+
+  http::Response refusal(unsigned Status) const;
+  void noteFault(http::InputFault Fault, std::string_view Detail);
 
   void onServerUpdate(const dispatch::Server &Of);
   void configurationChanged();
@@ -89,6 +106,13 @@
   boost::asio::steady_timer m_UpkeepTimer;
   TimePoint m_StartedAt{};
   TimePoint m_ModelsLoggedAt{};
+  /// Of the last log line of each cause of refused input, and how many refusals
+  /// have not been logged since.
+  struct FaultLog {
+    TimePoint m_LoggedAt{};
+    uint64_t m_Unlogged = 0;
+  };
+  std::map<http::InputFault, FaultLog> m_FaultLogs;
   std::function<void()> m_Ended;
 };
 
@@ -97,11 +121,42 @@
   m_Calls.reconsiderSoon(Of.m_Record.m_Service);
 }
 
+http::Response Node::Parts::refusal(unsigned Status) const {
+  http::Response Made = http::makeResponse(Status);
+  if (Status == 503)
+    Made.set(m_State.m_PlatformCodec.m_Headers.m_RetryAfter,
+             std::to_string(MemoryRetrySeconds));
+  return Made;
+}
+
+void Node::Parts::noteFault(http::InputFault Fault, std::string_view Detail) {
+  m_State.m_Metrics.noteClientRefused(http::inputFaultName(Fault));
+  FaultLog &Log = m_FaultLogs[Fault];
+  TimePoint Now = m_State.now();
+  if (Log.m_LoggedAt != TimePoint{} &&
+      Now - Log.m_LoggedAt < FaultLogInterval) {
+    ++Log.m_Unlogged;
+    return;
+  }
+  Log.m_LoggedAt = Now;
+  logEvent(Fault == http::InputFault::Exception ? LogLevel::Error
+                                                : LogLevel::Warning,
+           "client_refused",
+           {{"cause", http::inputFaultName(Fault)},
+            {"status", http::inputFaultStatus(Fault)},
+            {"detail", std::string(Detail)},
+            {"unlogged", std::exchange(Log.m_Unlogged, 0)}});
+}
+
 void Node::Parts::configurationChanged() {
   const routing::CallerLimits &Limits =
       m_State.m_ActiveConfiguration->m_Configuration.m_Limits;
   http::ServerLimits Taken;
-  Taken.m_HeaderBytes = Limits.m_HeaderBytes;
+  Taken.m_HeaderBytes = std::min(Limits.m_HeaderBytes, http::MaxHeaderBytes);
+  if (Limits.m_HeaderBytes > http::MaxHeaderBytes)
+    logEvent(
+        LogLevel::Warning, "header_limit_capped",
+        {{"configured", Limits.m_HeaderBytes}, {"cap", http::MaxHeaderBytes}});
   Taken.m_BodyBytes = Limits.m_BodyBytes;
   Taken.m_HeaderTimeout = Limits.m_HeaderTimeout;
   Taken.m_IdleTimeout = Limits.m_IdleTimeout;
--- a/libs/http/include/hyssopcross/http/Client.h
+++ b/libs/http/include/hyssopcross/http/Client.h
@@ -122,6 +122,9 @@
   /// Connections opened since the start.
   uint64_t openedCount() const;
 
+  /// Exceptions that ended an exchange since the start.
+  uint64_t faultCount() const;
+
   /// Shared with the connections, which may outlive the client for a moment.
   struct State;
 
--- a/libs/http/include/hyssopcross/http/Listener.h
+++ b/libs/http/include/hyssopcross/http/Listener.h
@@ -29,10 +29,52 @@
   size_t m_Connections = SIZE_MAX;
   /// Requests of one connection that wait for their answers at a time.
   uint32_t m_PipelineDepth = 32;
-  /// Bytes of bodies that all connections of the listener hold at a time.
+  /// Bytes of request bodies, unfinished or not yet answered, that all
+  /// connections of the listener hold at a time. One body alone may exceed it.
   uint64_t m_HeldBytes = 64ULL << 20;
+  /// Fields of one request's head.
+  uint32_t m_HeaderFields = 16384;
+  /// Bytes of chunk extensions and trailers of one request.
+  uint64_t m_ExtraBytes = 64 * 1024;
 };
 
+/// Bytes of a head that the parser holds: its fields count their bytes with 16
+/// bits. ServerLimits::m_HeaderBytes beyond it has no further effect.
+constexpr uint32_t MaxHeaderBytes = 65535;
+
+/// Why input is refused before a handler sees it.
+enum class InputFault : uint8_t {
+  /// The request line or a field is malformed.
+  Head,
+  /// The length of the body is stated twice or is no number.
+  ContentLength,
+  /// A transfer coding other than chunked, or together with a length.
+  TransferCoding,
+  /// Two hosts are named.
+  Host,
+  TraceBody,
+  HeaderBytes,
+  HeaderFields,
+  BodyBytes,
+  /// A malformed chunk or trailer.
+  Chunk,
+  Trailer,
+  /// Too many bytes of chunk extensions and trailers.
+  ExtraBytes,
+  /// The memory for bodies is in use.
+  Memory,
+  HeaderTime,
+  BodyTime,
+  /// An unforeseen exception while the connection was served.
+  Exception,
+};
+
+/// The stable lower-case name of a fault, as it appears in logs and metrics.
+const char *inputFaultName(InputFault Fault);
+
+/// The status that answers a fault.
+unsigned inputFaultStatus(InputFault Fault);
+
 class ServerConnection;
 
 /// One request that waits for its answer. Shared by the connection and the
@@ -68,6 +110,8 @@
   std::function<void()> m_PeerGone;
   Response m_Answer;
   bool m_Answered = false;
+  /// Releases the memory that is counted for the body.
+  std::shared_ptr<void> m_BodyHold;
   bool m_KeepAlive = true;
   bool m_IsHead = false;
 };
@@ -78,6 +122,10 @@
 /// sees it: malformed, too large, too slow, or beyond the memory for bodies.
 using RefusalMaker = std::function<Response(unsigned Status)>;
 
+/// Told of each refusal of input; Detail is the text of an exception.
+using FaultObserver =
+    std::function<void(InputFault Fault, std::string_view Detail)>;
+
 /// Accepts connections on one address and reads their requests. Requests of one
 /// connection run side by side; their answers go out in order. Lives on one
 /// event loop, whose thread makes all calls; the loop must outlive it.
@@ -97,6 +145,9 @@
   /// Replaces the empty answer that refused input gets.
   void setRefusal(RefusalMaker Make);
 
+  /// Sets who is told of refused input.
+  void setFaultObserver(FaultObserver Observe);
+
   /// From now on every answer ends its connection.
   void closeAfterAnswers();
 
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -1,10 +1,10 @@
 #include "hyssopcross/http/Client.h"
 #include "hyssopcross/base/Invariant.h"
+#include "hyssopcross/base/Log.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
@@ -26,6 +26,11 @@
 /// Bytes read ahead of the parser: a head, or the line before a chunk, that
 /// does not fit is no answer.
 constexpr size_t BufferBytes = 64UL * 1024;
+/// Room offered to one read of a head, and of a body.
+constexpr size_t HeadReadChunk = 4096;
+constexpr size_t BodyReadChunk = 32768;
+/// Interval between two log lines of exceptions.
+constexpr Duration FaultLogInterval = std::chrono::seconds(1);
 /// An unfinished answer of less than this part of what may be held is never
 /// given up, so that an endless one does not cost others theirs.
 constexpr uint64_t LargeAnswerPart = 16;
@@ -70,6 +75,16 @@
   setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, 2);
 }
 
+/// Whether the body of an answer has no transfer coding but chunked. Another
+/// one would be lost where the body is passed on.
+bool hasKnownCoding(const Fields &Headers) {
+  auto Range = Headers.equal_range(beast_http::field::transfer_encoding);
+  if (Range.first == Range.second)
+    return true;
+  return std::next(Range.first) == Range.second &&
+         boost::beast::iequals(Range.first->value(), "chunked");
+}
+
 /// Whether a failed read shows that the server's end of the connection closed
 /// or reset it.
 bool isClosedByServer(const error_code &Failure) {
@@ -112,6 +127,23 @@
   /// Bytes of unfinished answers.
   uint64_t m_HeldBytes = 0;
   bool m_Ended = false;
+  /// Exceptions so far, and when the last one was logged.
+  uint64_t m_Faults = 0;
+  std::optional<TimePoint> m_FaultLoggedAt;
+
+  /// Counts an exception and logs it at a bounded rate.
+  void noteFault(const ServerKey &Server, const char *What) {
+    ++m_Faults;
+    TimePoint Now = m_Clock.now();
+    if (m_FaultLoggedAt && Now - *m_FaultLoggedAt < FaultLogInterval)
+      return;
+    m_FaultLoggedAt = Now;
+    logEvent(LogLevel::Error, "server_connection_fault",
+             {{"host", Server.first},
+              {"port", Server.second},
+              {"error", What},
+              {"faults", m_Faults}});
+  }
 
   uint32_t idleLimit(const ServerKey &Server) const {
     auto Known = m_Keep.find(Server);
@@ -185,7 +217,22 @@
   void connected(const error_code &Failure);
   void exchange();
   void readAnswer();
-  void readBody();
+  /// Parses what has arrived, and reads on while the answer is not whole.
+  void parse();
+  /// Looks at the head of an answer; false if it ends the exchange.
+  bool headRead();
+  void readMore();
+  void received(const error_code &Failure, size_t Bytes);
+  /// Runs an action; an exception in it ends only this exchange.
+  template <typename Action> void guarded(Action Act) {
+    try {
+      Act();
+    } catch (const std::exception &Thrown) {
+      failed(Thrown.what());
+    }
+  }
+  /// Ends the exchange after an exception.
+  void failed(const char *What);
   void answerRead(const error_code &Failure);
   /// Counts Bytes of the unfinished answer, in place of what was counted.
   void hold(uint64_t Bytes) {
@@ -203,6 +250,12 @@
   std::optional<beast_http::request_serializer<beast_http::string_body>>
       m_Serializer;
   std::optional<beast_http::response_parser<beast_http::string_body>> m_Parser;
+  /// Head of a chunked answer, without the trailers that the parser adds.
+  std::optional<Response::header_type> m_Head;
+  /// Counts the bytes of chunk extensions; the parser refers to it.
+  std::function<void(uint64_t, boost::beast::string_view, error_code &)>
+      m_OnChunk;
+  uint64_t m_ExtensionBytes = 0;
   AnswerFilter m_Filter;
   ExchangeCallback m_Done;
   bool m_Writing = false;
@@ -222,8 +275,9 @@
     m_Socket.set_option(tcp::no_delay(true), Failure);
   auto Self = shared_from_this();
   if (Failure) {
-    boost::asio::post(m_Owner->m_Loop,
-                      [Self, Failure] { Self->connected(Failure); });
+    boost::asio::post(m_Owner->m_Loop, [Self, Failure] {
+      Self->guarded([&] { Self->connected(Failure); });
+    });
     return;
   }
   noticeSilence(m_Socket.native_handle(), m_Owner->m_Policy);
@@ -233,9 +287,10 @@
     if (!Ended)
       Self->m_Socket.close();
   });
-  m_Socket.async_connect(
-      tcp::endpoint(Host, m_Server.m_Port),
-      [Self](const error_code &Ended) { Self->connected(Ended); });
+  m_Socket.async_connect(tcp::endpoint(Host, m_Server.m_Port),
+                         [Self](const error_code &Ended) {
+                           Self->guarded([&] { Self->connected(Ended); });
+                         });
 }
 
 void ClientConnection::connected(const error_code &Failure) {
@@ -253,50 +308,92 @@
   m_Writing = true;
   m_MayBeSent = true;
   m_Serializer.emplace(*m_Asked);
-  beast_http::async_write(m_Socket, *m_Serializer,
-                          [Self](const error_code &Failure, size_t Bytes) {
-                            Self->m_Writing = false;
-                            // A failure shows in the reading too, after what
-                            // the server may have answered before.
-                            if (Failure && Bytes == 0 && Self->m_Done)
-                              Self->finish(ExchangeEnd::NotSent);
-                          });
+  beast_http::async_write(
+      m_Socket, *m_Serializer, [Self](const error_code &Failure, size_t Bytes) {
+        Self->m_Writing = false;
+        // A failure shows in the reading too, after what
+        // the server may have answered before.
+        if (Failure && Bytes == 0 && Self->m_Done)
+          Self->guarded([&] { Self->finish(ExchangeEnd::NotSent); });
+      });
   readAnswer();
 }
 
 void ClientConnection::readAnswer() {
   m_Parser.emplace();
+  m_Parser->header_limit(BufferBytes);
   m_Parser->body_limit(m_Owner->m_Policy.m_AnswerBytes);
   m_Parser->skip(m_Asked->method() == beast_http::verb::head);
-  // The headers are read by themselves: Beast 1.74 overlooks the limit of the
-  // body where the first bytes of the body come with the headers.
-  beast_http::async_read_header(
-      m_Socket, m_Buffer, *m_Parser,
-      [Self = shared_from_this()](const error_code &Failure, size_t) {
-        if (Failure || Self->m_Parser->is_done())
-          return Self->answerRead(Failure);
-        Self->readBody();
+  m_Head.reset();
+  m_ExtensionBytes = 0;
+  parse();
+}
+
+void ClientConnection::parse() {
+  error_code Failure;
+  while (m_Buffer.size() > 0 && !Failure && !m_Parser->is_done()) {
+    bool WasInHead = !m_Parser->is_header_done();
+    m_Buffer.consume(m_Parser->put(m_Buffer.data(), Failure));
+    if (WasInHead && m_Parser->is_header_done() && !Failure && !headRead())
+      return;
+  }
+  if (Failure == beast_http::error::need_more)
+    Failure = {};
+  if (Failure || m_Parser->is_done())
+    return answerRead(Failure);
+  // What is neither consumed nor complete by now is one line or one head.
+  if (m_Buffer.size() >= BufferBytes)
+    return answerRead(beast_http::error::buffer_overflow);
+  uint64_t Bytes = m_Parser->get().body().size();
+  hold(Bytes);
+  uint64_t Limit = m_Owner->m_Policy.m_HeldBytes;
+  if (m_Owner->m_HeldBytes > Limit && Bytes >= Limit / LargeAnswerPart)
+    return finish(ExchangeEnd::Malformed);
+  readMore();
+}
+
+bool ClientConnection::headRead() {
+  if (!hasKnownCoding(m_Parser->get())) {
+    finish(ExchangeEnd::Malformed);
+    return false;
+  }
+  if (!m_Parser->chunked())
+    return true;
+  m_Head = m_Parser->get().base();
+  m_OnChunk = [this](uint64_t, boost::beast::string_view Extension,
+                     error_code &Failure) {
+    m_ExtensionBytes += Extension.size();
+    if (m_ExtensionBytes > BufferBytes)
+      Failure = beast_http::error::header_limit;
+  };
+  m_Parser->on_chunk_header(m_OnChunk);
+  return true;
+}
+
+void ClientConnection::readMore() {
+  // A body is read in larger parts than a head.
+  size_t Wanted = m_Parser->is_header_done() ? BodyReadChunk : HeadReadChunk;
+  size_t Room = std::min(Wanted, BufferBytes - m_Buffer.size());
+  m_Socket.async_read_some(
+      m_Buffer.prepare(Room),
+      [Self = shared_from_this()](const error_code &Failure, size_t Bytes) {
+        Self->guarded([&] { Self->received(Failure, Bytes); });
       });
 }
 
-void ClientConnection::readBody() {
+void ClientConnection::received(const error_code &Failure, size_t Bytes) {
   if (!m_Done)
     return;
-  beast_http::async_read_some(
-      m_Socket, m_Buffer, *m_Parser,
-      [Self = shared_from_this()](const error_code &Failure, size_t) {
-        if (!Self->m_Done)
-          return;
-        if (Failure || Self->m_Parser->is_done())
-          return Self->answerRead(Failure);
-        uint64_t Bytes = Self->m_Parser->get().body().size();
-        Self->hold(Bytes);
-        uint64_t Limit = Self->m_Owner->m_Policy.m_HeldBytes;
-        if (Self->m_Owner->m_HeldBytes > Limit &&
-            Bytes >= Limit / LargeAnswerPart)
-          return Self->finish(ExchangeEnd::Malformed);
-        Self->readBody();
-      });
+  m_Buffer.commit(Bytes);
+  if (!Failure)
+    return parse();
+  if (Failure != boost::asio::error::eof)
+    return answerRead(Failure);
+  if (!m_Parser->got_some())
+    return answerRead(beast_http::error::end_of_stream);
+  error_code Ended;
+  m_Parser->put_eof(Ended);
+  answerRead(Ended);
 }
 
 void ClientConnection::answerRead(const error_code &Failure) {
@@ -323,6 +420,19 @@
   finish(ExchangeEnd::Answered);
 }
 
+void ClientConnection::failed(const char *What) {
+  m_Owner->noteFault(keyOf(m_Server), What);
+  // The callback has been called already if it was the one that threw.
+  if (m_Done) {
+    try {
+      finish(ExchangeEnd::Malformed);
+    } catch (const std::exception &Thrown) {
+      m_Owner->noteFault(keyOf(m_Server), Thrown.what());
+    }
+  }
+  close();
+}
+
 void ClientConnection::finish(ExchangeEnd End) {
   auto Self = shared_from_this();
   ExchangeResult Ended;
@@ -338,6 +448,8 @@
         Stated ? std::max(Duration(0), *Stated - m_Owner->m_Policy.m_IdleMargin)
                : m_Owner->m_Policy.m_IdleAge;
     Ended.m_Answer = m_Parser->release();
+    if (m_Head)
+      Ended.m_Answer.base() = std::move(*m_Head);
   }
   m_Filter = nullptr;
   hold(0);
@@ -460,4 +572,6 @@
 
 uint64_t Client::openedCount() const { return m_State->m_Opened; }
 
+uint64_t Client::faultCount() const { return m_State->m_Faults; }
+
 } // namespace hyssopcross::http
--- a/libs/http/src/Listener.cpp
+++ b/libs/http/src/Listener.cpp
@@ -57,6 +57,60 @@
   return boost::outcome_v2::success();
 }
 
+const char *inputFaultName(InputFault Fault) {
+  switch (Fault) {
+  case InputFault::Head:
+    return "head";
+  case InputFault::ContentLength:
+    return "content_length";
+  case InputFault::TransferCoding:
+    return "transfer_coding";
+  case InputFault::Host:
+    return "host";
+  case InputFault::TraceBody:
+    return "trace_body";
+  case InputFault::HeaderBytes:
+    return "header_bytes";
+  case InputFault::HeaderFields:
+    return "header_fields";
+  case InputFault::BodyBytes:
+    return "body_bytes";
+  case InputFault::Chunk:
+    return "chunk";
+  case InputFault::Trailer:
+    return "trailer";
+  case InputFault::ExtraBytes:
+    return "extra_bytes";
+  case InputFault::Memory:
+    return "memory";
+  case InputFault::HeaderTime:
+    return "header_time";
+  case InputFault::BodyTime:
+    return "body_time";
+  case InputFault::Exception:
+    return "exception";
+  }
+  return "unknown";
+}
+
+unsigned inputFaultStatus(InputFault Fault) {
+  switch (Fault) {
+  case InputFault::HeaderBytes:
+  case InputFault::HeaderFields:
+  case InputFault::ExtraBytes:
+    return 431;
+  case InputFault::BodyBytes:
+    return 413;
+  case InputFault::Memory:
+    return 503;
+  case InputFault::HeaderTime:
+  case InputFault::BodyTime:
+    return 408;
+  default:
+    return 400;
+  }
+}
+
 void Listener::setLimits(const ServerLimits &Limits) {
   m_State->m_Limits = Limits;
 }
@@ -65,6 +119,10 @@
   m_State->m_MakeRefusal = std::move(Make);
 }
 
+void Listener::setFaultObserver(FaultObserver Observe) {
+  m_State->m_OnFault = std::move(Observe);
+}
+
 void Listener::closeAfterAnswers() { m_State->m_CloseAfterAnswers = true; }
 
 void Listener::stopAccepting() {
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -1,6 +1,7 @@
 #ifndef HYSSOPCROSS_HTTP_SRC_SERVERCONNECTION_H
 #define HYSSOPCROSS_HTTP_SRC_SERVERCONNECTION_H
 
+#include "Framing.h"
 #include "hyssopcross/http/Listener.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -26,9 +27,11 @@
   RefusalMaker m_MakeRefusal = [](unsigned Status) {
     return makeResponse(Status);
   };
+  FaultObserver m_OnFault;
   ServerLimits m_Limits;
   boost::asio::ip::tcp::acceptor m_Acceptor;
   std::unordered_set<std::shared_ptr<ServerConnection>> m_Connections;
+  /// Bytes of bodies that are being read or whose requests are not answered.
   uint64_t m_HeldBytes = 0;
   bool m_CloseAfterAnswers = false;
 };
@@ -49,22 +52,46 @@
   void flush();
 
 private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  /// A request whose body is being read.
+  struct Incoming {
+    Request m_Message;
+    Framing m_Framing;
+    ChunkReader m_Chunks;
+    bool m_KeepAlive = true;
+  };
 
   void read();
   void received(size_t Bytes);
-  /// Parses what is buffered; false once nothing more can be parsed.
+  /// Parses what is buffered, as far as the pipeline has room.
+  void parse();
+  /// Parses one step; false once nothing more can be parsed.
   bool parseSome();
-  void refuseInput(unsigned Status);
+  bool parseHead();
+  bool parseBody();
+  /// Counts the bytes of the body that is being read; false if there is no
+  /// memory for them.
+  bool holdBody(uint64_t Bytes);
+  void refuseInput(InputFault Fault);
   void finishRequest();
   void written(const boost::system::error_code &Failure);
+  /// Sends the interim answer to a client that waits for it before the body.
+  void sendContinue();
+  bool mayParse() const;
   bool mayRead() const;
+  std::string_view buffered() const;
+  /// Runs an action; an exception in it ends only this connection.
+  template <typename Action> void guarded(Action Act);
 
   std::shared_ptr<Listener::State> m_Owner;
   boost::asio::ip::tcp::socket m_Socket;
+  /// Target of the read in progress. Separate from the buffer, which may be
+  /// parsed meanwhile.
+  std::unique_ptr<char[]> m_ReadArea;
+  size_t m_ReadAreaBytes = 0;
   boost::beast::flat_buffer m_Buffer;
-  std::optional<Parser> m_Parser;
+  HeadScan m_Scan;
+  /// Set while a body is being read.
+  std::optional<Incoming> m_Incoming;
   std::deque<std::shared_ptr<Exchange>> m_Waiting;
   std::shared_ptr<Exchange> m_Writing;
   std::optional<
@@ -73,8 +100,14 @@
   TimePoint m_LastActivity;
   TimePoint m_RequestStart;
   TimePoint m_WriteStart;
+  /// When the last answer of the connection was written.
+  std::optional<TimePoint> m_EndedAt;
   uint64_t m_CountedBytes = 0;
   bool m_Reading = false;
+  bool m_IsParsing = false;
+  /// The client waits for an interim answer.
+  bool m_OwesContinue = false;
+  bool m_WritingContinue = false;
   /// No further request is read: the peer asked for the end, or sent what
   /// cannot be understood.
   bool m_NoMoreRequests = false;
