overflow_tests cover two short data centres that do not hear each other

Cause: the simulated loads with a cut pair overlapped too briefly to fail when a plan ignored the load that the third data centre receives from the unheard one. Change: one more load, in which both are always short and the third has room.

--- a/libs/overflow/tests/PlanTest.cpp
+++ b/libs/overflow/tests/PlanTest.cpp
@@ -30,6 +30,8 @@
   /// Mean and amplitude of the demand as a share of the own capacity, and the
   /// part of a period by which each data centre is behind the one before.
   double m_Mean = 1.05;
+  /// Mean of each data centre instead, if not empty.
+  std::vector<double> m_Means{};
   double m_Amplitude = 0.55;
   double m_Phase = 1.0 / 3;
   Duration m_Age = 50ms;
@@ -58,7 +60,8 @@
   double Phase = std::chrono::duration<double>(Time) / Period -
                  At.m_Phase * static_cast<double>(I);
   return At.m_Capacity[I] *
-         (At.m_Mean + At.m_Amplitude * std::sin(2 * std::numbers::pi * Phase));
+         ((At.m_Means.empty() ? At.m_Mean : At.m_Means[I]) +
+          At.m_Amplitude * std::sin(2 * std::numbers::pi * Phase));
 }
 
 /// The least load that has to move for the most to be served, found without the
@@ -244,6 +247,13 @@
        .m_Phase = 0.25,
        .m_Age = 500ms,
        .m_IsCut = true},
+      // Each took the whole spare capacity of the third for its own.
+      {.m_Name = "two that are always short share one they both hear",
+       .m_Capacity = Three,
+       .m_Means = {1.3, 1.3, 0.5},
+       .m_Amplitude = 0.02,
+       .m_Age = 2s,
+       .m_IsCut = true},
       {.m_Name = "two that are cut off",
        .m_Capacity = Two,
        .m_Phase = 0.5,
