Refuse white space after a chunk size without an extension

Cause: RFC 9112, section 7.1, allows white space after a chunk size only before the semicolon of an extension. "3 \r\n" was accepted, which other readers refuse. Done: a chunk line that has left its size ends only after a semicolon.

--- a/libs/http/src/Framing.cpp
+++ b/libs/http/src/Framing.cpp
@@ -251,10 +251,16 @@
   case ChunkState::Size:
     if (isHexDigit(Character))
       return noteSizeDigit(Reader, Character, Room);
+    if (Character == '\r') {
+      Now = ChunkState::SizeLf;
+      return std::nullopt;
+    }
     Now = ChunkState::Extension;
     [[fallthrough]];
   case ChunkState::Extension:
-    if (Character == '\r') {
+    // RFC 9112, section 7.1: white space after the size belongs to an
+    // extension, so one has to follow.
+    if (Character == '\r' && Reader.m_HasSemicolon) {
       Now = ChunkState::SizeLf;
       return std::nullopt;
     }
