Framing tests show the expected fault by name

Cause: a failed comparison printed the address of the expected name. Done: the name is compared and printed as a string.

--- a/libs/http/tests/FramingTest.cpp
+++ b/libs/http/tests/FramingTest.cpp
@@ -201,7 +201,7 @@
       CHECK(Read.m_Requests.empty());
       REQUIRE(Read.m_Fault);
       CHECK(std::string(inputFaultName(*Read.m_Fault)) ==
-            inputFaultName(Each.m_Fault));
+            std::string(inputFaultName(Each.m_Fault)));
     }
   }
 }
