Flags for the limits on header fields and chunk extensions

Cause: both limits were constants that no operator could change, the listeners other than that of callers kept the defaults of the library, and the refusals and exceptions of connections to servers were not documented.

--- a/libs/gateway/include/hyssopcross/gateway/Settings.h
+++ b/libs/gateway/include/hyssopcross/gateway/Settings.h
@@ -6,6 +6,7 @@
 #include "hyssopcross/dispatch/Budget.h"
 #include "hyssopcross/dispatch/Policy.h"
 #include "hyssopcross/fleet/Membership.h"
+#include "hyssopcross/http/Listener.h"
 #include "hyssopcross/quota/Quota.h"
 #include <string>
 #include <vector>
@@ -35,6 +36,10 @@
   uint32_t m_MilliCores = 1000;
   /// Memory limit of the process.
   uint64_t m_MemoryBytes = 256ULL << 20;
+  /// Fields of the head of a client's request.
+  uint32_t m_ClientHeaderFields = http::ServerLimits().m_HeaderFields;
+  /// Bytes of chunk extensions and trailers of a client's request.
+  uint64_t m_ClientExtraBytes = http::ServerLimits().m_ExtraBytes;
   /// The whole system is starting for the first time, so no caller depends on
   /// this VM yet.
   bool m_IsFirstStart = false;
--- a/libs/gateway/src/Node.cpp
+++ b/libs/gateway/src/Node.cpp
@@ -83,6 +83,7 @@
           [this](http::InputFault Fault, std::string_view Detail) {
             noteFault(Fault, Detail);
           });
+    setLimits();
   }
 
   http::Response refusal(unsigned Status) const;
@@ -90,6 +91,9 @@
 
   void onServerUpdate(const dispatch::Server &Of);
   void configurationChanged();
+  /// Sets what the listeners accept, by the settings and the configuration in
+  /// force.
+  void setLimits();
   /// Passes on the quotas of the configuration in force.
   void setQuotas();
   void answerReadiness(const std::shared_ptr<http::Exchange> &Asked);
@@ -157,24 +161,36 @@
 }
 
 void Node::Parts::configurationChanged() {
-  const routing::CallerLimits &Limits =
-      m_State.m_ActiveConfiguration->m_Configuration.m_Limits;
-  http::ServerLimits Taken;
-  Taken.m_HeaderBytes = std::min(Limits.m_HeaderBytes, http::MaxHeaderBytes);
-  if (Limits.m_HeaderBytes > http::MaxHeaderBytes)
-    logEvent(
-        LogLevel::Warning, "header_limit_capped",
-        {{"configured", Limits.m_HeaderBytes}, {"cap", http::MaxHeaderBytes}});
-  Taken.m_BodyBytes = Limits.m_BodyBytes;
-  Taken.m_HeaderTimeout = Limits.m_HeaderTimeout;
-  Taken.m_IdleTimeout = Limits.m_IdleTimeout;
-  Taken.m_HeldBytes = m_State.m_Settings.m_MemoryBytes / BodyMemoryShare;
-  m_Callers.setLimits(Taken);
+  uint32_t HeaderBytes =
+      m_State.m_ActiveConfiguration->m_Configuration.m_Limits.m_HeaderBytes;
+  if (HeaderBytes > http::MaxHeaderBytes)
+    logEvent(LogLevel::Warning, "header_limit_capped",
+             {{"configured", HeaderBytes}, {"cap", http::MaxHeaderBytes}});
+  setLimits();
   setQuotas();
   m_Calls.configurationChanged();
   updateReadiness();
 }
 
+void Node::Parts::setLimits() {
+  const Settings &Own = m_State.m_Settings;
+  http::ServerLimits Taken;
+  Taken.m_HeaderFields = Own.m_ClientHeaderFields;
+  Taken.m_ExtraBytes = Own.m_ClientExtraBytes;
+  Taken.m_HeldBytes = Own.m_MemoryBytes / BodyMemoryShare;
+  for (http::Listener *Each : {&m_Readiness, &m_Directory, &m_Internal})
+    Each->setLimits(Taken);
+  if (m_State.m_ActiveConfiguration) {
+    const routing::CallerLimits &Limits =
+        m_State.m_ActiveConfiguration->m_Configuration.m_Limits;
+    Taken.m_HeaderBytes = std::min(Limits.m_HeaderBytes, http::MaxHeaderBytes);
+    Taken.m_BodyBytes = Limits.m_BodyBytes;
+    Taken.m_HeaderTimeout = Limits.m_HeaderTimeout;
+    Taken.m_IdleTimeout = Limits.m_IdleTimeout;
+  }
+  m_Callers.setLimits(Taken);
+}
+
 void Node::Parts::setQuotas() {
   std::map<std::string, quota::Quota, std::less<>> Quotas;
   const auto &Organisations =
@@ -240,6 +256,8 @@
                           static_cast<double>(m_Callers.connectionCount()));
   m_State.m_Metrics.gauge("server_connections_opened",
                           static_cast<double>(m_State.m_Client.openedCount()));
+  m_State.m_Metrics.gauge("server_connection_faults",
+                          static_cast<double>(m_State.m_Client.faultCount()));
   m_State.m_Metrics.gauge(
       "configuration_version",
       m_State.m_ActiveConfiguration
@@ -369,6 +387,9 @@
   Own.m_Dispatch = Given.m_Dispatch;
   Own.m_FleetPolicy = Given.m_FleetPolicy;
   Own.m_Quota = Given.m_Quota;
+  Own.m_ClientHeaderFields = Given.m_ClientHeaderFields;
+  Own.m_ClientExtraBytes = Given.m_ClientExtraBytes;
+  m_Parts->setLimits();
   logEvent(LogLevel::Info, "reloaded", {{"name", Own.m_Name}});
 }
 
--- a/tools/hyssopcross-entry/Flags.cpp
+++ b/tools/hyssopcross-entry/Flags.cpp
@@ -22,6 +22,11 @@
               "speed of a core relative to the cores of other VMs");
 DEFINE_int32(memory_mb, 256, "memory that the process may use, in MB");
 DEFINE_string(store_address, "", "host:port of the platform's store");
+DEFINE_int32(client_header_fields_max, 16384,
+             "header fields of a request that are accepted");
+DEFINE_int32(client_chunk_extra_bytes_max, 65536,
+             "bytes of chunk extensions and trailers of a request that are "
+             "accepted");
 DEFINE_bool(first_start, false,
             "first start of the whole system: limit the load on the store");
 DEFINE_double(stop_grace_s, 6, "maximum seconds from SIGTERM to process exit");
@@ -86,6 +91,10 @@
       {"core_share", FLAGS_core_share, 0.001, 1024},
       {"core_speed", FLAGS_core_speed, 0.001, 1024},
       {"memory_mb", static_cast<double>(FLAGS_memory_mb), 16, 1e6},
+      {"client_header_fields_max",
+       static_cast<double>(FLAGS_client_header_fields_max), 16, 65535},
+      {"client_chunk_extra_bytes_max",
+       static_cast<double>(FLAGS_client_chunk_extra_bytes_max), 1024, 1 << 30},
   };
   return checkNumberFlags(Numbers);
 }
@@ -142,6 +151,10 @@
   Values.m_MilliCores = std::max(
       1U, static_cast<uint32_t>(FLAGS_core_share * FLAGS_core_speed * 1000));
   Values.m_MemoryBytes = static_cast<uint64_t>(FLAGS_memory_mb) << 20;
+  Values.m_ClientHeaderFields =
+      static_cast<uint32_t>(FLAGS_client_header_fields_max);
+  Values.m_ClientExtraBytes =
+      static_cast<uint64_t>(FLAGS_client_chunk_extra_bytes_max);
   Values.m_IsFirstStart = FLAGS_first_start;
   Values.m_StopGrace = fromSeconds(FLAGS_stop_grace_s);
   Values.m_ConfigurationBound = fromSeconds(FLAGS_configuration_bound_s);
