Test that one upload of the largest size is served

Cause: the tests of hostile clients check only that the process stays sound, so a bound on memory that refuses every large upload would pass them. Change: an upload of MaxBodyBytes, with a length and chunked, is answered 200. The route's timeout and the deadline are as long as the test waits.

--- a/tools/hyssopcross-entry/tests/HostileClientTest.cpp
+++ b/tools/hyssopcross-entry/tests/HostileClientTest.cpp
@@ -74,6 +74,7 @@
     return m_IsEnded || (m_Left.empty() && m_RepeatedLeft == 0);
   }
   bool isEnded() const { return m_IsEnded; }
+  const std::string &received() const { return m_Received; }
 
   /// Number of answers that have begun to arrive.
   size_t answerCount() const {
@@ -97,9 +98,12 @@
 /// servers.
 class Deployment {
 public:
-  explicit Deployment(uint32_t MaxHeaderBytes = 16384)
+  explicit Deployment(uint32_t MaxHeaderBytes = 16384,
+                      Duration RouteTimeout = 2s)
       : m_Process(arguments(), logFile()) {
     nlohmann::json Configuration = test::configurationDocument(1);
+    Configuration["Routes"]["plain"]["TimeoutS"] =
+        std::chrono::duration<double>(RouteTimeout).count();
     Configuration["Limits"] = {{"MaxHeaderBytes", MaxHeaderBytes},
                                {"MaxBodyBytes", MaxBodyBytes},
                                {"HeaderTimeoutS", 3},
@@ -328,6 +332,29 @@
   }
 }
 
+// Guards against a bound on memory that also refuses what the limits allow.
+TEST_CASE("process: one upload of the largest size is served") {
+  // Nothing here depends on how long the upload takes.
+  Deployment On(16384, Patience);
+  const std::string Start = "POST /p/x HTTP/1.1\r\nHost: h.example\r\n"
+                            "Attempt-Id: large\r\nDeadline-Ms: 20000\r\n";
+  std::string Body(MaxBodyBytes, 'a');
+  char Size[32];
+  std::snprintf(Size, sizeof(Size), "%zx\r\n", Body.size());
+  for (bool IsChunked : {false, true}) {
+    CAPTURE(IsChunked);
+    std::string Length =
+        "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+    std::string Bytes = Start + (IsChunked ? Chunked : Length) + "\r\n";
+    Bytes += IsChunked ? Size + Body + "\r\n0\r\n\r\n" : Body;
+    std::vector<RawClient> Group;
+    Group.emplace_back(On.m_Loop, std::move(Bytes));
+    CHECK(On.waitForAnswers(Group, 1));
+    CHECK(Group.front().received().rfind("HTTP/1.1 200 ", 0) == 0);
+  }
+  On.checkIsSound();
+}
+
 TEST_CASE("process: each of 48 pipelined requests gets an answer") {
   constexpr size_t Pipelined = 48;
   Deployment On;
