Continue after exceptions that reach the event loop

Cause: an exception that left a handler ended the process and with it the requests of all callers. Change: the loop goes on, with the event loop_exception as log line (one a second) and counter. Handlers that schedule their own next run (maintenance, heartbeats, health checks, datagrams, accepting, following the store, discovery of VMs, signals) do so after an exception as well; without that, a VM would stay alive but deaf. A follower of the store reads its table whole again. Broken invariants still end the process. No test in the repository makes a handler throw.

--- a/libs/gateway/include/hyssopcross/gateway/Node.h
+++ b/libs/gateway/include/hyssopcross/gateway/Node.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace hyssopcross::gateway {
 
@@ -29,6 +30,10 @@
   /// intervals. Addresses and names are not changed.
   void reload(const Settings &Given);
 
+  /// Counts an exception that left a handler of the event loop, and logs it at
+  /// a bounded rate.
+  void noteLoopException(std::string_view What);
+
   /// Starts a graceful shutdown. Calls Ended once all work is done, at the
   /// latest when the grace period is over.
   void stop(std::function<void()> Ended);
--- a/libs/gateway/src/DiscoveryClient.cpp
+++ b/libs/gateway/src/DiscoveryClient.cpp
@@ -1,6 +1,7 @@
 #include "DiscoveryClient.h"
 #include "StoreCalls.h"
 #include "hyssopcross/base/Log.h"
+#include "hyssopcross/base/Recovery.h"
 #include "hyssopcross/discovery/WatchSchedule.h"
 
 namespace hyssopcross::gateway {
@@ -106,10 +107,18 @@
   m_RegisterTimer.async_wait([this](const error_code &Ended) {
     if (Ended)
       return;
-    updateRole();
-    for (Follower &Each : m_Followers)
-      next(Each);
-    discoverVms();
+    runWithRecovery(
+        [this] {
+          updateRole();
+          for (Follower &Each : m_Followers)
+            next(Each);
+          discoverVms();
+        },
+        [this] {
+          for (Follower &Each : m_Followers)
+            restart(Each);
+          scheduleVmDiscovery();
+        });
   });
 }
 
@@ -199,7 +208,8 @@
       m_State.m_Loop, m_State.m_Client, Source, std::move(Sent),
       [this, &Of, Handler](const http::ExchangeResult &Result) {
         Of.m_Call.reset();
-        (this->*Handler)(Of, Result);
+        runWithRecovery([&] { (this->*Handler)(Of, Result); },
+                        [&] { restart(Of); });
       });
 }
 
@@ -338,10 +348,19 @@
     if (Ended)
       return;
     discovery::onBackoffElapsed(Of.m_Pace);
-    next(Of);
+    runWithRecovery([&] { next(Of); }, [&] { restart(Of); });
   });
 }
 
+void DiscoveryClient::restart(Follower &Of) {
+  if (Of.m_Call)
+    Of.m_Call->cancel();
+  Of.m_Call.reset();
+  Of.m_Pages = {};
+  Of.m_MustRead = true;
+  pauseThenNext(Of);
+}
+
 void DiscoveryClient::dropCall(Follower &Of) {
   if (Of.m_Call)
     Of.m_Call->cancel();
--- a/libs/gateway/src/DiscoveryClient.h
+++ b/libs/gateway/src/DiscoveryClient.h
@@ -117,6 +117,9 @@
   void pauseThenNext(Follower &Of);
   void pause(Follower &Of, Duration Length);
   void dropCall(Follower &Of);
+  /// After an exception: reads the whole table after a pause, since some rows
+  /// may not have been applied.
+  void restart(Follower &Of);
   bool storeAnswers() const;
   void updateStoreReachability();
   void updateRole();
--- a/libs/gateway/src/DiscoveryVms.cpp
+++ b/libs/gateway/src/DiscoveryVms.cpp
@@ -2,6 +2,7 @@
 #include "DiscoveryClient.h"
 #include "StoreCalls.h"
 #include "hyssopcross/base/Log.h"
+#include "hyssopcross/base/Recovery.h"
 
 namespace hyssopcross::gateway {
 
@@ -31,7 +32,8 @@
   m_RegisterTimer.expires_after(VmDiscoveryInterval);
   m_RegisterTimer.async_wait([this](const error_code &Ended) {
     if (!Ended)
-      discoverVms();
+      runWithRecovery([this] { discoverVms(); },
+                      [this] { scheduleVmDiscovery(); });
   });
 }
 
@@ -40,7 +42,8 @@
       discovery::onCallFailed(m_RegisterPace, m_State.draw()));
   m_RegisterTimer.async_wait([this, What](const error_code &Ended) {
     if (!Ended)
-      (this->*What)();
+      runWithRecovery([this, What] { (this->*What)(); },
+                      [this] { scheduleVmDiscovery(); });
   });
 }
 
--- a/libs/gateway/src/FleetMessenger.cpp
+++ b/libs/gateway/src/FleetMessenger.cpp
@@ -1,5 +1,6 @@
 #include "FleetMessenger.h"
 #include "hyssopcross/base/Log.h"
+#include "hyssopcross/base/Recovery.h"
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
@@ -333,6 +334,10 @@
                toMillis(m_State.m_Settings.m_FleetPolicy.m_FailureTimeout)},
               {"fleet_version", m_State.m_Fleet.m_Version}});
   }
+  scheduleHeartbeat();
+}
+
+void FleetMessenger::scheduleHeartbeat() {
   const fleet::FleetPolicy &Policy = m_State.m_Settings.m_FleetPolicy;
   bool MaySlow = fleet::isLarge(m_State.m_Fleet, Policy) &&
                  !m_Handlers.m_GetOwnFollowing();
@@ -340,7 +345,8 @@
                                          : Policy.m_Heartbeat);
   m_HeartbeatTimer.async_wait([this](const error_code &Ended) {
     if (!Ended)
-      onHeartbeatTimer();
+      runWithRecovery([this] { onHeartbeatTimer(); },
+                      [this] { scheduleHeartbeat(); });
   });
 }
 
@@ -350,15 +356,15 @@
 }
 
 void FleetMessenger::receive() {
-  m_Socket.async_receive_from(boost::asio::buffer(m_Input), m_From,
-                              [this](const error_code &Failure, size_t Bytes) {
-                                if (Failure ==
-                                    boost::asio::error::operation_aborted)
-                                  return;
-                                if (!Failure)
-                                  received(Bytes);
-                                receive();
-                              });
+  m_Socket.async_receive_from(
+      boost::asio::buffer(m_Input), m_From,
+      [this](const error_code &Failure, size_t Bytes) {
+        if (Failure == boost::asio::error::operation_aborted)
+          return;
+        if (!Failure)
+          runWithRecovery([&] { received(Bytes); }, [&] { receive(); });
+        receive();
+      });
 }
 
 void FleetMessenger::received(size_t Bytes) {
--- a/libs/gateway/src/FleetMessenger.h
+++ b/libs/gateway/src/FleetMessenger.h
@@ -84,6 +84,7 @@
   /// Applies what the sender knows of requests that may crash servers.
   void applySuspects(const fleet::Datagram &Message);
   void onHeartbeatTimer();
+  void scheduleHeartbeat();
   void sendHeartbeat();
   std::string greeting();
   /// Replies to a VM that sent a greeting or was not known with the hosts that
--- a/libs/gateway/src/HealthChecker.cpp
+++ b/libs/gateway/src/HealthChecker.cpp
@@ -1,5 +1,6 @@
 #include "HealthChecker.h"
 #include "hyssopcross/base/Log.h"
+#include "hyssopcross/base/Recovery.h"
 
 namespace hyssopcross::gateway {
 
@@ -139,10 +140,14 @@
     m_Checks[Id].m_Call.reset();
     missed(Id, "timeout", false);
   }
+  scheduleTick();
+}
+
+void HealthChecker::scheduleTick() {
   m_Timer.expires_after(m_State.m_Settings.m_HealthInterval);
   m_Timer.async_wait([this](const error_code &Ended) {
     if (!Ended)
-      tick();
+      runWithRecovery([this] { tick(); }, [this] { scheduleTick(); });
   });
 }
 
--- a/libs/gateway/src/HealthChecker.h
+++ b/libs/gateway/src/HealthChecker.h
@@ -55,6 +55,7 @@
   };
 
   void tick();
+  void scheduleTick();
   bool isDue(const dispatch::Server &Of, Check &Mine, TimePoint Now);
   const Duty &dutyFor(const dispatch::Server &Of, Check &Mine);
   /// Updates groups and checks after the set of servers has changed.
--- a/libs/gateway/src/Node.cpp
+++ b/libs/gateway/src/Node.cpp
@@ -5,6 +5,7 @@
 #include "HealthChecker.h"
 #include "QuotaHost.h"
 #include "hyssopcross/base/Log.h"
+#include "hyssopcross/base/Recovery.h"
 #include "hyssopcross/http/Listener.h"
 #include <charconv>
 #include <map>
@@ -41,7 +42,8 @@
 /// Retry-After of a request that is refused for lack of memory; bodies are read
 /// and answered within about this time.
 constexpr unsigned MemoryRetrySeconds = 1;
-/// Interval between two log lines of refused input with the same cause.
+/// Interval between two log lines of refused input with the same cause, or of
+/// exceptions that reached the event loop.
 constexpr Duration FaultLogInterval = std::chrono::seconds(1);
 
 } // namespace
@@ -86,7 +88,16 @@
     setLimits();
   }
 
+  /// When a kind of fault was last logged, and how many have not been logged
+  /// since.
+  struct FaultLog {
+    TimePoint m_LoggedAt{};
+    uint64_t m_Unlogged = 0;
+  };
+
   http::Response refusal(unsigned Status) const;
+  /// Whether a fault may be logged now; one that may not is counted.
+  bool takeLogTurn(FaultLog &Log) const;
   void noteFault(http::InputFault Fault, std::string_view Detail);
 
   void onServerUpdate(const dispatch::Server &Of);
@@ -102,6 +113,7 @@
   void answerRows(const std::shared_ptr<http::Exchange> &Asked,
                   std::string_view Target);
   void upkeep();
+  void scheduleUpkeep();
   void updateReadiness();
   void continueStop();
 
@@ -118,13 +130,9 @@
   boost::asio::steady_timer m_UpkeepTimer;
   TimePoint m_StartedAt{};
   TimePoint m_ModelsLoggedAt{};
-  /// Of the last log line of each cause of refused input, and how many refusals
-  /// have not been logged since.
-  struct FaultLog {
-    TimePoint m_LoggedAt{};
-    uint64_t m_Unlogged = 0;
-  };
+  /// By the cause of refused input.
   std::map<http::InputFault, FaultLog> m_FaultLogs;
+  FaultLog m_LoopFaultLog;
   std::function<void()> m_Ended;
 };
 
@@ -141,16 +149,22 @@
   return Made;
 }
 
-void Node::Parts::noteFault(http::InputFault Fault, std::string_view Detail) {
-  m_State.m_Metrics.noteClientRefused(http::inputFaultName(Fault));
-  FaultLog &Log = m_FaultLogs[Fault];
+bool Node::Parts::takeLogTurn(FaultLog &Log) const {
   TimePoint Now = m_State.now();
   if (Log.m_LoggedAt != TimePoint{} &&
       Now - Log.m_LoggedAt < FaultLogInterval) {
     ++Log.m_Unlogged;
-    return;
+    return false;
   }
   Log.m_LoggedAt = Now;
+  return true;
+}
+
+void Node::Parts::noteFault(http::InputFault Fault, std::string_view Detail) {
+  m_State.m_Metrics.noteClientRefused(http::inputFaultName(Fault));
+  FaultLog &Log = m_FaultLogs[Fault];
+  if (!takeLogTurn(Log))
+    return;
   logEvent(Fault == http::InputFault::Exception ? LogLevel::Error
                                                 : LogLevel::Warning,
            "client_refused",
@@ -311,10 +325,20 @@
   }
   if (m_State.isStopping())
     continueStop();
+  scheduleUpkeep();
+}
+
+void Node::Parts::scheduleUpkeep() {
   m_UpkeepTimer.expires_after(UpkeepInterval);
   m_UpkeepTimer.async_wait([this](const error_code &Ended) {
-    if (!Ended)
-      upkeep();
+    if (Ended)
+      return;
+    runWithRecovery([this] { upkeep(); },
+                    [this] {
+                      scheduleUpkeep();
+                      if (m_State.isStopping())
+                        continueStop();
+                    });
   });
 }
 
@@ -393,6 +417,16 @@
   logEvent(LogLevel::Info, "reloaded", {{"name", Own.m_Name}});
 }
 
+void Node::noteLoopException(std::string_view What) {
+  Parts &Own = *m_Parts;
+  Own.m_State.m_Metrics.count("loop_exception");
+  if (!Own.takeLogTurn(Own.m_LoopFaultLog))
+    return;
+  logEvent(LogLevel::Error, "loop_exception",
+           {{"error", std::string(What)},
+            {"unlogged", std::exchange(Own.m_LoopFaultLog.m_Unlogged, 0)}});
+}
+
 void Node::stop(std::function<void()> Ended) {
   Parts &Own = *m_Parts;
   if (Own.m_State.isStopping())
--- a/libs/http/src/Listener.cpp
+++ b/libs/http/src/Listener.cpp
@@ -1,4 +1,5 @@
 #include "ServerConnection.h"
+#include "hyssopcross/base/Recovery.h"
 
 namespace hyssopcross::http {
 
@@ -24,12 +25,15 @@
           return;
         bool HasRoom =
             State->m_Connections.size() < State->m_Limits.m_Connections;
-        if (!Failure && HasRoom) {
-          auto Connection =
-              std::make_shared<ServerConnection>(State, std::move(Socket));
-          State->m_Connections.insert(Connection);
-          Connection->start();
-        }
+        if (!Failure && HasRoom)
+          runWithRecovery(
+              [&] {
+                auto Connection = std::make_shared<ServerConnection>(
+                    State, std::move(Socket));
+                State->m_Connections.insert(Connection);
+                Connection->start();
+              },
+              [&] { acceptNext(State); });
         acceptNext(State);
       });
 }
--- a/tools/hyssopcross-entry/Main.cpp
+++ b/tools/hyssopcross-entry/Main.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <exception>
 #include <gflags/gflags.h>
 
 DEFINE_bool(check, false, "check the settings and exit");
@@ -45,14 +46,34 @@
   Signals.async_wait([&](const boost::system::error_code &Failure, int Signal) {
     if (Failure)
       return;
+    awaitSignals(Signals, Node, Loop);
     if (Signal == SIGHUP)
       reload(Node);
     else
       Node.stop([&Loop] { Loop.stop(); });
-    awaitSignals(Signals, Node, Loop);
   });
 }
 
+/// Runs the event loop until it is stopped. An exception ends only the handler
+/// that it left: this process serves the requests of many callers, and ending
+/// it would lose all of them. Continuing is safe because
+/// - run() may be called again after an exception without a restart, and the
+///   handler that threw has been removed from the queue, so it does not repeat;
+/// - handlers that schedule their own next run do so after an exception as well
+///   (runWithRecovery), so no timer and no reading of a socket ends unnoticed;
+/// - broken invariants do not throw but end the process.
+/// A request whose handler threw may stay without an answer until its caller
+/// leaves.
+void runLoop(boost::asio::io_context &Loop, gateway::Node &Node) {
+  while (!Loop.stopped()) {
+    try {
+      Loop.run();
+    } catch (const std::exception &Thrown) {
+      Node.noteLoopException(Thrown.what());
+    }
+  }
+}
+
 /// Runs the node until a signal stops it. Returns the exit status.
 int runNode(gateway::Settings Loaded) {
   boost::asio::io_context Loop(1);
@@ -67,7 +88,7 @@
   }
   boost::asio::signal_set Signals(Loop, SIGTERM, SIGINT, SIGHUP);
   awaitSignals(Signals, Node, Loop);
-  Loop.run();
+  runLoop(Loop, Node);
   return 0;
 }
 
