--- a/libs/gateway/src/Node.cpp
+++ b/libs/gateway/src/Node.cpp
@@ -6,6 +6,7 @@
 #include "QuotaHost.h"
 #include "RolloutHost.h"
 #include "hyssopcross/base/Log.h"
+#include "hyssopcross/base/Recovery.h"
 #include "hyssopcross/http/Listener.h"
 #include <charconv>
 #include <map>
@@ -42,7 +43,8 @@
 /// Retry-After of a request that is refused for lack of memory; bodies are read
 /// and answered within about this time.
 constexpr unsigned MemoryRetrySeconds = 1;
-/// Interval between two log lines of refused input with the same cause.
+/// Interval between two log lines of refused input with the same cause, or of
+/// exceptions that reached the event loop.
 constexpr Duration FaultLogInterval = std::chrono::seconds(1);
 
 } // namespace
@@ -89,13 +91,26 @@
           [this](http::InputFault Fault, std::string_view Detail) {
             noteFault(Fault, Detail);
           });
+    setLimits();
   }
 
+  /// When a kind of fault was last logged, and how many have not been logged
+  /// since.
+  struct FaultLog {
+    TimePoint m_LoggedAt{};
+    uint64_t m_Unlogged = 0;
+  };
+
   http::Response refusal(unsigned Status) const;
+  /// Whether a fault may be logged now; one that may not is counted.
+  bool takeLogTurn(FaultLog &Log) const;
   void noteFault(http::InputFault Fault, std::string_view Detail);
 
   void onServerUpdate(const dispatch::Server &Of);
   void configurationChanged();
+  /// Sets what the listeners accept, by the settings and the configuration in
+  /// force.
+  void setLimits();
   /// Passes on the quotas of the configuration in force.
   void setQuotas();
   void answerReadiness(const std::shared_ptr<http::Exchange> &Asked);
@@ -104,6 +119,7 @@
   void answerRows(const std::shared_ptr<http::Exchange> &Asked,
                   std::string_view Target);
   void upkeep();
+  void scheduleUpkeep();
   void updateReadiness();
   void continueStop();
 
@@ -121,13 +137,9 @@
   boost::asio::steady_timer m_UpkeepTimer;
   TimePoint m_StartedAt{};
   TimePoint m_ModelsLoggedAt{};
-  /// Of the last log line of each cause of refused input, and how many refusals
-  /// have not been logged since.
-  struct FaultLog {
-    TimePoint m_LoggedAt{};
-    uint64_t m_Unlogged = 0;
-  };
+  /// By the cause of refused input.
   std::map<http::InputFault, FaultLog> m_FaultLogs;
+  FaultLog m_LoopFaultLog;
   std::function<void()> m_Ended;
 };
 
@@ -144,16 +156,22 @@
   return Made;
 }
 
-void Node::Parts::noteFault(http::InputFault Fault, std::string_view Detail) {
-  m_State.m_Metrics.noteClientRefused(http::inputFaultName(Fault));
-  FaultLog &Log = m_FaultLogs[Fault];
+bool Node::Parts::takeLogTurn(FaultLog &Log) const {
   TimePoint Now = m_State.now();
   if (Log.m_LoggedAt != TimePoint{} &&
       Now - Log.m_LoggedAt < FaultLogInterval) {
     ++Log.m_Unlogged;
-    return;
+    return false;
   }
   Log.m_LoggedAt = Now;
+  return true;
+}
+
+void Node::Parts::noteFault(http::InputFault Fault, std::string_view Detail) {
+  m_State.m_Metrics.noteClientRefused(http::inputFaultName(Fault));
+  FaultLog &Log = m_FaultLogs[Fault];
+  if (!takeLogTurn(Log))
+    return;
   logEvent(Fault == http::InputFault::Exception ? LogLevel::Error
                                                 : LogLevel::Warning,
            "client_refused",
@@ -164,24 +182,36 @@
 }
 
 void Node::Parts::configurationChanged() {
-  const routing::CallerLimits &Limits =
-      m_State.m_ActiveConfiguration->m_Configuration.m_Limits;
-  http::ServerLimits Taken;
-  Taken.m_HeaderBytes = std::min(Limits.m_HeaderBytes, http::MaxHeaderBytes);
-  if (Limits.m_HeaderBytes > http::MaxHeaderBytes)
-    logEvent(
-        LogLevel::Warning, "header_limit_capped",
-        {{"configured", Limits.m_HeaderBytes}, {"cap", http::MaxHeaderBytes}});
-  Taken.m_BodyBytes = Limits.m_BodyBytes;
-  Taken.m_HeaderTimeout = Limits.m_HeaderTimeout;
-  Taken.m_IdleTimeout = Limits.m_IdleTimeout;
-  Taken.m_HeldBytes = m_State.m_Settings.m_MemoryBytes / BodyMemoryShare;
-  m_Callers.setLimits(Taken);
+  uint32_t HeaderBytes =
+      m_State.m_ActiveConfiguration->m_Configuration.m_Limits.m_HeaderBytes;
+  if (HeaderBytes > http::MaxHeaderBytes)
+    logEvent(LogLevel::Warning, "header_limit_capped",
+             {{"configured", HeaderBytes}, {"cap", http::MaxHeaderBytes}});
+  setLimits();
   setQuotas();
   m_Calls.configurationChanged();
   updateReadiness();
 }
 
+void Node::Parts::setLimits() {
+  const Settings &Own = m_State.m_Settings;
+  http::ServerLimits Taken;
+  Taken.m_HeaderFields = Own.m_ClientHeaderFields;
+  Taken.m_ExtraBytes = Own.m_ClientExtraBytes;
+  Taken.m_HeldBytes = Own.m_MemoryBytes / BodyMemoryShare;
+  for (http::Listener *Each : {&m_Readiness, &m_Directory, &m_Internal})
+    Each->setLimits(Taken);
+  if (m_State.m_ActiveConfiguration) {
+    const routing::CallerLimits &Limits =
+        m_State.m_ActiveConfiguration->m_Configuration.m_Limits;
+    Taken.m_HeaderBytes = std::min(Limits.m_HeaderBytes, http::MaxHeaderBytes);
+    Taken.m_BodyBytes = Limits.m_BodyBytes;
+    Taken.m_HeaderTimeout = Limits.m_HeaderTimeout;
+    Taken.m_IdleTimeout = Limits.m_IdleTimeout;
+  }
+  m_Callers.setLimits(Taken);
+}
+
 void Node::Parts::setQuotas() {
   std::map<std::string, quota::Quota, std::less<>> Quotas;
   const auto &Organisations =
@@ -247,6 +277,8 @@
                           static_cast<double>(m_Callers.connectionCount()));
   m_State.m_Metrics.gauge("server_connections_opened",
                           static_cast<double>(m_State.m_Client.openedCount()));
+  m_State.m_Metrics.gauge("server_connection_faults",
+                          static_cast<double>(m_State.m_Client.faultCount()));
   m_State.m_Metrics.gauge(
       "configuration_version",
       m_State.m_ActiveConfiguration
@@ -301,10 +333,20 @@
   }
   if (m_State.isStopping())
     continueStop();
+  scheduleUpkeep();
+}
+
+void Node::Parts::scheduleUpkeep() {
   m_UpkeepTimer.expires_after(UpkeepInterval);
   m_UpkeepTimer.async_wait([this](const error_code &Ended) {
-    if (!Ended)
-      upkeep();
+    if (Ended)
+      return;
+    runWithRecovery([this] { upkeep(); },
+                    [this] {
+                      scheduleUpkeep();
+                      if (m_State.isStopping())
+                        continueStop();
+                    });
   });
 }
 
@@ -378,9 +420,22 @@
   Own.m_FleetPolicy = Given.m_FleetPolicy;
   Own.m_Quota = Given.m_Quota;
   Own.m_Rollout = Given.m_Rollout;
+  Own.m_ClientHeaderFields = Given.m_ClientHeaderFields;
+  Own.m_ClientExtraBytes = Given.m_ClientExtraBytes;
+  m_Parts->setLimits();
   logEvent(LogLevel::Info, "reloaded", {{"name", Own.m_Name}});
 }
 
+void Node::noteLoopException(std::string_view What) {
+  Parts &Own = *m_Parts;
+  Own.m_State.m_Metrics.count("loop_exception");
+  if (!Own.takeLogTurn(Own.m_LoopFaultLog))
+    return;
+  logEvent(LogLevel::Error, "loop_exception",
+           {{"error", std::string(What)},
+            {"unlogged", std::exchange(Own.m_LoopFaultLog.m_Unlogged, 0)}});
+}
+
 void Node::stop(std::function<void()> Ended) {
   Parts &Own = *m_Parts;
   if (Own.m_State.isStopping())
