Tests of roll-outs print nothing unless a check fails

Cause: the runner takes the name of each test case that prints anything for a failed one. The captured names were printed as addresses.

--- a/libs/rollout/tests/FleetTest.cpp
+++ b/libs/rollout/tests/FleetTest.cpp
@@ -263,34 +263,23 @@
 uint32_t countWrong(const Case &Each, uint32_t Seeds, uint32_t FirstSeed = 1,
                     bool ChecksAllExposures = false) {
   uint32_t Wrong = 0;
-  double Latest = 0;
-  double MostExposed = 0;
   for (uint32_t Seed = FirstSeed; Seed < FirstSeed + Seeds; ++Seed) {
-    CAPTURE(Each.m_Name);
+    CAPTURE(std::string(Each.m_Name));
     CAPTURE(Seed);
     Outcome Found = World(Each, Seed).run();
     State Right = Each.isBad() ? State::RolledBack : State::Completed;
-    Latest =
-        std::max(Latest, std::chrono::duration<double>(Found.m_At).count());
     double Bound =
         RolloutPolicy().m_ExposeShare * static_cast<double>(Found.m_Requests) +
         RolloutPolicy().m_ExposeSlack;
     double Exposed =
         Each.isBad() ? static_cast<double>(Found.m_Exposed) / Bound : 0;
-    MostExposed = std::max(MostExposed, Exposed);
     CHECK(Found.m_SentAfter == 0);
     // A bad version that is completed also breaks the bound.
     bool IsWrong = Found.m_State != Right;
     if (!IsWrong || ChecksAllExposures)
       CHECK(Exposed < 1);
     Wrong += IsWrong ? 1 : 0;
-    if (IsWrong)
-      MESSAGE("seed ", Seed, " wrong: ", std::string(Found.m_Why), " after ",
-              std::chrono::duration<double>(Found.m_At).count(), " s");
   }
-  MESSAGE(std::string(Each.m_Name), " ", Each.m_Failures, " ", Each.m_Slower,
-          ": wrong ", Wrong, " of ", Seeds, ", latest ", Latest, " s, exposed ",
-          MostExposed, " of the bound");
   return Wrong;
 }
 
@@ -393,7 +382,7 @@
 // allowed, or that gets any after it was taken out.
 TEST_CASE("a bad version is rolled back within its exposure") {
   for (const Case &Each : badVersions()) {
-    CAPTURE(Each.m_Name);
+    CAPTURE(std::string(Each.m_Name));
     CAPTURE(Each.m_Failures);
     CAPTURE(Each.m_Slower);
     CHECK(countWrong(Each, Seeds) <= Seeds / 100);
@@ -404,7 +393,7 @@
 // from being completed by its deadline.
 TEST_CASE("a good version is completed by its deadline") {
   for (const Case &Each : goodVersions()) {
-    CAPTURE(Each.m_Name);
+    CAPTURE(std::string(Each.m_Name));
     CHECK(countWrong(Each, Seeds) <= Seeds / 100);
   }
 }
@@ -416,7 +405,7 @@
 // against a bad version that is completed and so exceeds its exposure.
 TEST_CASE("a bad version keeps its exposure on further seeds, in every run") {
   for (const Case &Each : badVersions()) {
-    CAPTURE(Each.m_Name);
+    CAPTURE(std::string(Each.m_Name));
     CAPTURE(Each.m_Failures);
     CAPTURE(Each.m_Slower);
     CHECK(countWrong(Each, Seeds, FurtherSeeds, true) <= Seeds / 100);
@@ -433,7 +422,7 @@
   Colder.m_Spread = 0.5;
   All.push_back(Colder);
   for (const Case &Each : All) {
-    CAPTURE(Each.m_Name);
+    CAPTURE(std::string(Each.m_Name));
     CHECK(countWrong(Each, Seeds, FurtherSeeds) <= Seeds / 100);
   }
 }
