Quotas: hold a part of the tolerance in the bucket, and shorten permissions

Done: the bucket holds a quarter of the tolerance beyond the burst, a new granter begins with a tenth instead of a quarter, and a permission lasts 1 s instead of 2.

--- a/libs/quota/include/hyssopcross/quota/Quota.h
+++ b/libs/quota/include/hyssopcross/quota/Quota.h
@@ -35,11 +35,13 @@
   Duration m_SkipTime = std::chrono::milliseconds(500);
   /// How long the token of a request that was not sent may be used for another.
   Duration m_SpareTime = std::chrono::seconds(1);
-  /// How long a keeper's permission to grant lasts.
-  Duration m_PermitTime = std::chrono::seconds(2);
+  /// How long a keeper's permission to grant lasts, and how long a keeper gives
+  /// none after its start. After a restart of all VMs nothing is granted for
+  /// that long.
+  Duration m_PermitTime = std::chrono::seconds(1);
   /// Age at which a permission is renewed, and the interval at which a request
   /// for one is repeated.
-  Duration m_PermitRenewal = std::chrono::seconds(1);
+  Duration m_PermitRenewal = std::chrono::milliseconds(500);
   Duration m_PermitRetry = std::chrono::milliseconds(100);
   /// Permissions are renewed while the organisation was asked for within this
   /// time.
--- a/libs/quota/src/Quota.cpp
+++ b/libs/quota/src/Quota.cpp
@@ -6,12 +6,15 @@
 
 namespace {
 
-/// Parts of the tolerance: the starting level of a new granter, and the
-/// capacity and the refill in each window of all keepers' reserves together.
-/// After a long cut two data centres may choose different keepers, eight
-/// instead of five; together with a starting level these stay below 0.9 of the
-/// tolerance.
-constexpr double StartShare = 0.25;
+/// Parts of the tolerance: what a granter's bucket holds beyond the burst, the
+/// starting level of a new granter, and the capacity and the refill in each
+/// window of all keepers' reserves together. After a long cut two data centres
+/// may choose different keepers, eight instead of five, whose reserves grant
+/// 0.64 of the tolerance; together with the other parts this stays below it.
+/// Without the first part a quota of less than a request a second refuses two
+/// requests that happen to arrive within one second.
+constexpr double BurstShare = 0.25;
+constexpr double StartShare = 0.1;
 constexpr double ReserveShare = 0.2;
 /// A VM that is not first in its view forwards to the one that is; a VM that is
 /// first, but has no permission because a third one hears a higher rank,
@@ -124,7 +127,9 @@
   return true;
 }
 
-double capacityOf(const Quota &Of) { return std::max(1.0, Of.m_Burst); }
+double capacityOf(const QuotaPolicy &Policy, const Quota &Of) {
+  return std::max(1.0, Of.m_Burst + BurstShare * tolerance(Policy, Of));
+}
 
 /// Number of keepers that hold a part of the reserve, each at least one token.
 size_t reserveKeepers(const OrganisationState &Of, const QuotaPolicy &Policy) {
@@ -176,8 +181,7 @@
     return;
   bool IsFirstInWindow = In.m_Now - ChangeAt > In.m_Policy.m_Window;
   double Start = StartShare * tolerance(In.m_Policy, Of.m_Quota);
-  Of.m_Tokens = {IsFirstInWindow ? std::min(Start, capacityOf(Of.m_Quota)) : 0,
-                 In.m_Now};
+  Of.m_Tokens = {IsFirstInWindow ? Start : 0, In.m_Now};
 }
 
 /// Updates whether this VM is the granter.
@@ -285,8 +289,8 @@
   if (IsFirst)
     noteNeeded(State, Received.m_Organisation, Of, In, Out);
   if (updateGranter(State, Of, In)) {
-    refill(Of.m_Tokens, Of.m_Quota.m_PerSecond, capacityOf(Of.m_Quota),
-           In.m_Now);
+    refill(Of.m_Tokens, Of.m_Quota.m_PerSecond,
+           capacityOf(In.m_Policy, Of.m_Quota), In.m_Now);
     bool IsGranted = take(Of.m_Tokens);
     return answerToken(State, From, Received, IsGranted,
                        IsGranted ? Duration(0) : promiseToken(Of, In), In, Out);
