Convert the hops of an ask as an unsigned byte

Cause: the linter rejects the conversion of a signed char to a wider unsigned type. The value was checked before not to be negative. Result: no change of behaviour.

--- a/libs/fleet/src/Datagram.cpp
+++ b/libs/fleet/src/Datagram.cpp
@@ -293,7 +293,7 @@
   Output.m_Origin = static_cast<uint32_t>(From.origin);
   Output.m_Purpose = static_cast<quota::Purpose>(From.purpose);
   if (From.__isset.hops)
-    Output.m_Hops = static_cast<uint32_t>(From.hops);
+    Output.m_Hops = static_cast<uint8_t>(From.hops);
   return Output;
 }
 
