--- a/libs/http/include/hyssopcross/http/Listener.h
+++ b/libs/http/include/hyssopcross/http/Listener.h
@@ -35,7 +35,7 @@
   /// Fields of one request's head.
   uint32_t m_HeaderFields = 16384;
   /// Bytes of chunk extensions and trailers of one request.
-  uint64_t m_ExtraBytes = 64 * 1024;
+  uint64_t m_ExtraBytes = 64ULL * 1024;
 };
 
 /// Bytes of a head that the parser holds: its fields count their bytes with 16
