Satisfy the linter: containers that grow in loops, copies of parameters, conversions

Cause: the linter had not run on the new files. Done: capacity reserved, parameters by reference, the request that is being read declared outside of the connection, whose compiler front end cannot construct it there. Result: no change of behaviour.

--- a/libs/gateway/src/QuotaHost.cpp
+++ b/libs/gateway/src/QuotaHost.cpp
@@ -115,7 +115,7 @@
                     m_ViewAt);
 }
 
-void QuotaHost::perform(quota::Effects Out) {
+void QuotaHost::perform(quota::Effects &&Out) {
   struct Messages {
     std::vector<quota::Ask> m_Asks;
     std::vector<quota::Grant> m_Grants;
--- a/libs/gateway/src/QuotaHost.h
+++ b/libs/gateway/src/QuotaHost.h
@@ -43,7 +43,7 @@
   void refreshView();
   quota::Context context();
   /// Carries out effects and arms the timer.
-  void perform(quota::Effects Out);
+  void perform(quota::Effects &&Out);
   void armTimer();
   void noteRefusal(std::string_view Organisation, const quota::Decision &Made);
   void logRefusals();
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -36,6 +36,14 @@
   bool m_CloseAfterAnswers = false;
 };
 
+/// A request whose body is being read.
+struct IncomingRequest {
+  Request m_Message;
+  Framing m_Framing;
+  ChunkReader m_Chunks;
+  bool m_KeepAlive = true;
+};
+
 /// One accepted connection. Reads on while requests are being answered, so that
 /// pipelined requests are seen and a peer that leaves is noticed.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
@@ -52,14 +60,6 @@
   void flush();
 
 private:
-  /// A request whose body is being read.
-  struct Incoming {
-    Request m_Message;
-    Framing m_Framing;
-    ChunkReader m_Chunks;
-    bool m_KeepAlive = true;
-  };
-
   void read();
   void received(size_t Bytes);
   /// Parses what is buffered, as far as the pipeline has room.
@@ -91,7 +91,7 @@
   boost::beast::flat_buffer m_Buffer;
   HeadScan m_Scan;
   /// Set while a body is being read.
-  std::optional<Incoming> m_Incoming;
+  std::optional<IncomingRequest> m_Incoming;
   std::deque<std::shared_ptr<Exchange>> m_Waiting;
   std::shared_ptr<Exchange> m_Writing;
   std::optional<
--- a/libs/quota/src/Quota.cpp
+++ b/libs/quota/src/Quota.cpp
@@ -534,6 +534,7 @@
            Now - Each.second > 3 * Policy.m_ForgetAfter;
   });
   std::vector<Member> Members;
+  Members.reserve(Known.size());
   for (const auto &[Vm, Each] : Known)
     Members.push_back(Each);
   if (Members == Of.m_Members)
--- a/libs/quota/tests/FleetTest.cpp
+++ b/libs/quota/tests/FleetTest.cpp
@@ -337,7 +337,7 @@
     bool m_Bridged = false;
   };
   auto SetCut = [](Simulation &Test, TimePoint At,
-                   std::function<bool(size_t, size_t)> Cut) {
+                   const std::function<bool(size_t, size_t)> &Cut) {
     Test.at(At, [&Test, Cut] {
       Test.m_IsCut = Cut;
       Test.changed();
@@ -437,7 +437,11 @@
                           {94, 20, 0, 0},
                           {94, 0.3, 0.2, 0}};
   for (const Fault &Each : Faults)
-    for (const auto &[Vms, Rate, Loss, Returned] : Setups) {
+    for (const Setup &Given : Setups) {
+      auto Vms = Given.m_Vms;
+      auto Rate = Given.m_Rate;
+      auto Loss = Given.m_Loss;
+      auto Returned = Given.m_Returned;
       std::string Case = Each.m_Name;
       CAPTURE(Case);
       CAPTURE(Vms);
--- a/libs/rollout/tests/FleetTest.cpp
+++ b/libs/rollout/tests/FleetTest.cpp
@@ -130,7 +130,8 @@
       if (isFrozen(I))
         continue;
       ++At.m_Own.m_Received;
-      double OwnPerSecond = m_Case.m_PerSecond / m_Case.m_Vms;
+      double OwnPerSecond =
+          m_Case.m_PerSecond / static_cast<double>(m_Case.m_Vms);
       bool IsNew = takeShare(
           At.m_Share, localShare(At.m_State, OwnPerSecond, m_Vms.size(), {}));
       Running Made;
--- a/libs/routing/tests/KeysTest.cpp
+++ b/libs/routing/tests/KeysTest.cpp
@@ -7,13 +7,14 @@
 namespace {
 
 Configuration makeConfiguration(
-    std::vector<std::pair<std::string, std::vector<std::string>>> Given) {
+    const std::vector<std::pair<std::string, std::vector<std::string>>>
+        &Given) {
   Configuration Made;
   Made.m_Organisations.emplace();
-  for (auto &[Name, Keys] : Given) {
+  for (const auto &[Name, Keys] : Given) {
     Organisation &Each = (*Made.m_Organisations)[Name];
     Each.m_Name = Name;
-    Each.m_Keys = std::move(Keys);
+    Each.m_Keys = Keys;
   }
   return Made;
 }
@@ -154,6 +155,7 @@
 // Guards against lookups whose cost grows with the number of organisations.
 TEST_CASE("all keys of a thousand organisations are found") {
   std::vector<std::pair<std::string, std::vector<std::string>>> Given;
+  Given.reserve(1000);
   for (int I = 0; I < 1000; ++I)
     Given.push_back({"o" + std::to_string(I),
                      {"a" + std::to_string(I), "b" + std::to_string(I)}});
