--- a/review/standins-2/Kit.cpp
+++ b/review/standins-2/Kit.cpp
@@ -12,6 +12,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -399,7 +400,6 @@
 
 Server::Server(Options Given, Store &Platform, Record &Log)
     : m_Options(std::move(Given)), m_Store(Platform), m_Record(Log),
-      m_WorkS(m_Options.m_WorkS),
       m_Born(std::chrono::duration_cast<Millis>(
                  std::chrono::system_clock::now().time_since_epoch())
                  .count()),
@@ -469,7 +469,8 @@
                 " service=" + m_Options.m_Service + " id=" + Id +
                 " target=" + Asked.target() +
                 " body=" + std::to_string(Asked.m_Body.size()));
-  sleepFor(m_WorkS);
+  double Mib = static_cast<double>(Asked.m_Body.size()) / (1 << 20);
+  sleepFor(m_Options.m_WorkS + m_Options.m_WorkPerMibS * Mib);
   {
     std::lock_guard Lock(m_Mutex);
     --m_Running;
@@ -527,6 +528,8 @@
   std::string Path = std::string("PATH=") + (Folders ? Folders : "/usr/bin");
   m_Process = ::fork();
   if (m_Process == 0) {
+    // However the script ends, the process ends with it.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     rlimit Limit{static_cast<rlim_t>(m_Options.m_Descriptors),
                  static_cast<rlim_t>(m_Options.m_Descriptors)};
     ::setrlimit(RLIMIT_NOFILE, &Limit);
@@ -622,14 +625,25 @@
 }
 
 int freePort(const std::string &Host) {
-  int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in At = toAddress(Host, 0);
-  socklen_t Size = sizeof(At);
-  if (::bind(Socket, reinterpret_cast<sockaddr *>(&At), Size) != 0)
-    std::exit(CouldNotRun);
-  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&At), &Size);
-  ::close(Socket);
-  return ntohs(At.sin_port);
+  // Below the ports that the kernel gives to outgoing connections.
+  constexpr int First = 20000;
+  constexpr int Count = 12000;
+  constexpr int Stride = 64;
+  static std::atomic<int> Next = ::getpid() * Stride;
+  for (int Tries = 0; Tries < Count; ++Tries) {
+    int Port = First + Next++ % Count;
+    sockaddr_in At = toAddress(Host, Port);
+    bool IsFree = true;
+    for (int Kind : {SOCK_STREAM, SOCK_DGRAM}) {
+      int Socket = ::socket(AF_INET, Kind | SOCK_CLOEXEC, 0);
+      IsFree = IsFree && ::bind(Socket, reinterpret_cast<sockaddr *>(&At),
+                                sizeof(At)) == 0;
+      ::close(Socket);
+    }
+    if (IsFree)
+      return Port;
+  }
+  std::exit(CouldNotRun);
 }
 
 Folder::Folder() {
--- a/review/standins-2/Kit.h
+++ b/review/standins-2/Kit.h
@@ -163,8 +163,9 @@
     int m_Slots = 2;
     /// Requests beyond the slots that wait for one.
     int m_Queue = 4;
-    /// How long a request runs.
+    /// How long a request runs, and how much longer for each MiB of its body.
     double m_WorkS = 0.06;
+    double m_WorkPerMibS = 0;
     size_t m_AnswerBytes = 400;
     double m_HeartbeatS = 1.5;
   };
@@ -182,9 +183,6 @@
   std::vector<Run> runs();
   /// The entry as the server writes it.
   Json entry();
-  void setWork(double Seconds) { m_WorkS = Seconds; }
-  /// Requests that run at this moment.
-  int running() const { return m_Running; }
 
 private:
   void serve(const std::shared_ptr<Connection> &From);
@@ -194,7 +192,6 @@
   Options m_Options;
   Store &m_Store;
   Record &m_Record;
-  std::atomic<double> m_WorkS;
   std::atomic<int> m_Running = 0;
   std::atomic<int> m_Waiting = 0;
   std::atomic<int> m_Sequence = 0;
@@ -251,7 +248,7 @@
   std::thread m_Sampler;
 };
 
-/// A free TCP port of a loopback address.
+/// A port of a loopback address that is free for TCP and UDP.
 int freePort(const std::string &Host);
 /// A temporary folder that is removed at the end of the program.
 class Folder {
