--- a/review/standins-2/AbandonedUploads.cpp
+++ b/review/standins-2/AbandonedUploads.cpp
@@ -8,11 +8,16 @@
 
 constexpr size_t LargeBytes = 32UL << 20;
 constexpr size_t OrdinaryBytes = 60000;
-constexpr int LargeClients = 2;
-constexpr int LargeUploads = 16;
+constexpr int LargeUploads = 20;
+/// One large upload begins in each such time: 895 Mbit/s, where the link of a
+/// machine takes 1,000.
+constexpr double LargeIntervalS = 0.3;
 constexpr int OrdinaryUploads = 50;
-constexpr int OrdinaryClients = 8;
-constexpr double WorkS = 1;
+constexpr double OrdinaryIntervalS = 0.12;
+constexpr double WorkS = 0.11;
+/// A server works 3 s on a large upload.
+constexpr double WorkPerMibS = 0.09;
+constexpr int DeadlineMs = 8000;
 /// How long a client waits for its answer before it leaves.
 constexpr double PatienceS = 0.1;
 
@@ -23,32 +28,35 @@
   int m_LastStatus = 0;
 };
 
-void uploadLarge(const EntryVm &Vm, const std::string &Id,
-                 const std::string &Body, Record &Log) {
+/// Uploads on a new connection. PatienceS is how long the client waits for its
+/// answer.
+void upload(const EntryVm &Vm, const std::string &Id, const std::string &Body,
+            double PatienceS, Record &Log) {
   auto To = Connection::open(Vm.host(), Vm.callersPort());
   bool IsSent = To && To->send(request("POST", "shop.example", "/photo/" + Id,
-                                       Id, 2500, Body));
-  Log.line("large id=" + Id + (IsSent ? " sent" : " not sent"));
+                                       Id, DeadlineMs, Body));
+  Log.line("upload id=" + Id + (IsSent ? " sent" : " not sent"));
   if (!IsSent)
     return;
-  auto Answer = To->read(hasTrouble() ? PatienceS : 3, true);
-  Log.line("large id=" + Id +
+  auto Answer = To->read(PatienceS, true);
+  Log.line("upload id=" + Id +
            (Answer ? " status=" + std::to_string(Answer->status())
                    : std::string(" left")));
 }
 
 Outcome play(Record &Log, const Folder &Temporary) {
   Store Platform(Log);
-  Json Routes = {{"r-upload", route("shop.example", "/photo/", "upload",
-                                    "photos", 2.5, 1.5)}};
+  Json Routes = {
+      {"r-upload", route("shop.example", "/photo/", "upload", "photos", 8, 4)}};
   Platform.put("op", "config", configuration(7, Routes, {"photos"}).dump());
   std::vector<std::unique_ptr<Server>> Servers;
-  for (int I = 1; I <= 8; ++I) {
+  for (int I = 1; I <= 6; ++I) {
     Server::Options Given;
     Given.m_Id = "i-photos-" + std::to_string(I);
     Given.m_Service = "photos";
     Given.m_Slots = 3;
     Given.m_WorkS = WorkS;
+    Given.m_WorkPerMibS = WorkPerMibS;
     Servers.push_back(std::make_unique<Server>(Given, Platform, Log));
   }
   EntryVm::Options Machine;
@@ -58,32 +66,28 @@
   sleepFor(4);
   std::string Large(LargeBytes, 'p');
   std::string Ordinary(OrdinaryBytes, 'p');
-  std::atomic<int> NextLarge = 0;
-  std::atomic<int> NextOrdinary = 0;
+  double Start = now();
+  double LargePatienceS = hasTrouble() ? PatienceS : DeadlineMs / 1000.0;
   std::vector<std::thread> Clients;
-  Clients.reserve(LargeClients + OrdinaryClients);
-  for (int I = 0; I < LargeClients; ++I)
-    Clients.emplace_back([&] {
-      for (int Turn = NextLarge++; Turn < LargeUploads; Turn = NextLarge++)
-        uploadLarge(Vm, "large-" + std::to_string(Turn), Large, Log);
+  Clients.reserve(LargeUploads + OrdinaryUploads);
+  for (int I = 0; I < LargeUploads; ++I)
+    Clients.emplace_back([&, I] {
+      sleepFor(Start + I * LargeIntervalS - now());
+      upload(Vm, "large-" + std::to_string(I), Large, LargePatienceS, Log);
     });
-  for (int I = 0; I < OrdinaryClients; ++I)
-    Clients.emplace_back([&] {
-      for (int Turn = NextOrdinary++; Turn < OrdinaryUploads;
-           Turn = NextOrdinary++) {
-        std::string Id = "ordinary-" + std::to_string(Turn);
-        int Status = ask(
-            Vm,
-            request("POST", "shop.example", "/photo/" + Id, Id, 2500, Ordinary),
-            3);
-        Log.line("ordinary id=" + Id + " status=" + std::to_string(Status));
-      }
+  for (int I = 0; I < OrdinaryUploads; ++I)
+    Clients.emplace_back([&, I] {
+      sleepFor(Start + I * OrdinaryIntervalS - now());
+      upload(Vm, "ordinary-" + std::to_string(I), Ordinary, DeadlineMs / 1000.0,
+             Log);
     });
   for (std::thread &Each : Clients)
     Each.join();
   sleepFor(3);
   int Last = ask(
-      Vm, request("POST", "shop.example", "/photo/last", "last", 2500, "p"), 3);
+      Vm,
+      request("POST", "shop.example", "/photo/last", "last", DeadlineMs, "p"),
+      3);
   return {Vm.peakMb(), Vm.isAlive(), Machine.m_MemoryMb, Last};
 }
 
