--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -1,4 +1,5 @@
 #include "hyssopcross/http/Client.h"
+#include "AnswerHead.h"
 #include "hyssopcross/base/Invariant.h"
 #include "hyssopcross/base/Log.h"
 #include <boost/asio/ip/tcp.hpp>
@@ -7,7 +8,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
-#include <charconv>
 #include <chrono>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -41,21 +41,6 @@
   return {Server.m_Host, Server.m_Port};
 }
 
-/// The seconds that a Keep-Alive header names as "timeout=N".
-std::optional<std::chrono::seconds> statedTimeout(const Fields &Headers) {
-  constexpr std::string_view Parameter = "timeout=";
-  std::string_view Value = headerOf(Headers, "Keep-Alive");
-  size_t Start = Value.find(Parameter);
-  if (Start == std::string_view::npos)
-    return std::nullopt;
-  Value.remove_prefix(Start + Parameter.size());
-  int Seconds = 0;
-  if (std::from_chars(Value.data(), Value.data() + Value.size(), Seconds).ec !=
-      std::errc())
-    return std::nullopt;
-  return std::chrono::seconds(Seconds);
-}
-
 void setOption(int Socket, int Level, int Name, int Value) {
   // A kernel without the option only notices a dead peer later.
   ::setsockopt(Socket, Level, Name, &Value, sizeof(Value));
@@ -75,16 +60,6 @@
   setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, 2);
 }
 
-/// Whether the body of an answer has no transfer coding but chunked. Another
-/// one would be lost where the body is passed on.
-bool hasKnownCoding(const Fields &Headers) {
-  auto Range = Headers.equal_range(beast_http::field::transfer_encoding);
-  if (Range.first == Range.second)
-    return true;
-  return std::next(Range.first) == Range.second &&
-         boost::beast::iequals(Range.first->value(), "chunked");
-}
-
 /// Whether a failed read shows that the server's end of the connection closed
 /// or reset it.
 bool isClosedByServer(const error_code &Failure) {
