A reset during an upload no longer ends an answer in order

Callers saw: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. The caller got that part as the complete answer.

Cause: the kernel reports the error of a connection once, to whichever call comes first. While the request was being written, the write got the reset and http::Client ignored it; the read then saw an orderly end, which completes an answer without a length. The same happened where the server went silent and the kernel gave the connection up, and where the server closed it after reading all that had arrived, so that the reset came after the end. All answers are read by this client: those to callers, of checks, of the store and of other VMs.

Done: the failure of the write is kept and ends the answer in place of the read's end. If the server ends its side while the request is being written, an answer without a length waits for the end of the write: it is whole if the server takes the rest of the request, or stops reading (which the kernel reports after ClientPolicy::m_SilenceTimeout), and broken if it resets the connection. Answers with a length or in chunks are complete as before, reset or not.

Ruled out: refusing each answer without a length that comes before the end of the request, as a server may end its side in order and read on.

--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -60,11 +60,12 @@
   setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, 2);
 }
 
-/// Whether a failed read shows that the server's end of the connection closed
-/// or reset it.
+/// Whether a failed read or write shows that the server's end of the connection
+/// closed or reset it.
 bool isClosedByServer(const error_code &Failure) {
   return Failure == boost::asio::error::eof ||
          Failure == boost::asio::error::connection_reset ||
+         Failure == boost::asio::error::broken_pipe ||
          Failure == beast_http::error::end_of_stream ||
          Failure == beast_http::error::partial_message;
 }
@@ -149,6 +150,8 @@
     m_Done = std::move(Done);
     m_Writing = false;
     m_MayBeSent = false;
+    m_WriteFailure.clear();
+    m_AwaitsWrite = false;
     m_ClosedByServer = false;
     m_ConnectionRefused = false;
     m_Skipped = 0;
@@ -198,6 +201,9 @@
   bool headRead();
   void readMore();
   void received(const error_code &Failure, size_t Bytes);
+  void written(const error_code &Failure, size_t Bytes);
+  /// Ends the answer with the server's side of the connection.
+  void serverEnded();
   /// Runs an action; an exception in it ends only this exchange.
   template <typename Action> void guarded(Action Act) {
     try {
@@ -235,6 +241,11 @@
   ExchangeCallback m_Done;
   bool m_Writing = false;
   bool m_MayBeSent = false;
+  /// Why the request could not be written as a whole.
+  error_code m_WriteFailure;
+  /// The server has ended its side; whether that cuts its answer depends on how
+  /// the write of the request ends.
+  bool m_AwaitsWrite = false;
   uint64_t m_Held = 0;
   uint32_t m_Skipped = 0;
   bool m_ClosedByServer = false;
@@ -285,11 +296,7 @@
   m_Serializer.emplace(*m_Asked);
   beast_http::async_write(
       m_Socket, *m_Serializer, [Self](const error_code &Failure, size_t Bytes) {
-        Self->m_Writing = false;
-        // A failure shows in the reading too, after what
-        // the server may have answered before.
-        if (Failure && Bytes == 0 && Self->m_Done)
-          Self->guarded([&] { Self->finish(ExchangeEnd::NotSent); });
+        Self->guarded([&] { Self->written(Failure, Bytes); });
       });
   readAnswer();
 }
@@ -364,6 +371,36 @@
     return parse();
   if (Failure != boost::asio::error::eof)
     return answerRead(Failure);
+  // An answer without a length is cut if the server closes the connection
+  // before it has read the request, which shows only in the write.
+  m_AwaitsWrite = m_Writing && m_Parser->need_eof();
+  if (!m_AwaitsWrite)
+    serverEnded();
+}
+
+void ClientConnection::written(const error_code &Failure, size_t Bytes) {
+  m_Writing = false;
+  m_WriteFailure = Failure;
+  if (!m_Done)
+    return;
+  if (m_AwaitsWrite) {
+    // A server that ended its side in order and reads no more has not cut its
+    // answer.
+    if (Failure == boost::asio::error::timed_out)
+      m_WriteFailure.clear();
+    return serverEnded();
+  }
+  // A failure after the first byte shows in the reading too, after what the
+  // server may have answered before.
+  if (Failure && Bytes == 0)
+    finish(ExchangeEnd::NotSent);
+}
+
+void ClientConnection::serverEnded() {
+  // The kernel reports the error of a connection only once: if the write got
+  // it, the read saw an orderly end.
+  if (m_WriteFailure)
+    return answerRead(m_WriteFailure);
   if (!m_Parser->got_some())
     return answerRead(beast_http::error::end_of_stream);
   error_code Ended;
--- a/libs/http/tests/ClientTest.cpp
+++ b/libs/http/tests/ClientTest.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <optional>
+#include <random>
+#include <thread>
 
 using namespace hyssopcross;
 using namespace hyssopcross::http;
@@ -15,10 +17,14 @@
   explicit Fixture(ClientPolicy Policy = ClientPolicy())
       : m_Client(m_Loop, m_Clock, Policy) {}
 
-  void ask(const std::string &Id) {
+  void ask(const std::string &Id, std::string Body = {}) {
     auto Asked =
-        std::make_shared<Request>(boost::beast::http::verb::get, "/" + Id, 11);
+        std::make_shared<Request>(Body.empty() ? boost::beast::http::verb::get
+                                               : boost::beast::http::verb::post,
+                                  "/" + Id, 11);
     Asked->set("Id", Id);
+    Asked->body() = std::move(Body);
+    Asked->prepare_payload();
     m_Result.reset();
     m_Call = m_Client.send(
         {"127.0.0.1", m_Server.port()}, Asked, 60s,
@@ -139,6 +145,122 @@
   }
 }
 
+// Guards against a truncated answer that is taken for a whole one because the
+// write of the request, not the read of the answer, got the connection's error.
+TEST_CASE("an answer that arrives during an upload is whole or broken") {
+  enum class Then { End, EndAndRead, EndAndReset, Reset, StopReading };
+  const std::string Head = "HTTP/1.1 200 OK\r\nId: a\r\n";
+  struct Case {
+    const char *m_Name;
+    std::string m_Bytes;
+    Then m_Then;
+    ExchangeEnd m_End;
+    const char *m_Body;
+    bool m_ClosedByServer;
+  };
+  const Case Cases[] = {
+      {"no length, reset", Head + "\r\npart", Then::Reset, ExchangeEnd::Broken,
+       "", true},
+      {"no length, reset before the body", Head + "\r\n", Then::Reset,
+       ExchangeEnd::Broken, "", true},
+      {"no length, nothing read nor sent any more", Head + "\r\npart",
+       Then::StopReading, ExchangeEnd::Broken, "", false},
+      {"cut head, reset", Head, Then::Reset, ExchangeEnd::Broken, "", true},
+      {"cut body, reset", Head + "Content-Length: 9\r\n\r\npart", Then::Reset,
+       ExchangeEnd::Broken, "", true},
+      {"cut chunks, reset",
+       Head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", Then::Reset,
+       ExchangeEnd::Broken, "", true},
+      // What a close does whose server has read all that has arrived.
+      {"no length, end, then reset", Head + "\r\npart", Then::EndAndReset,
+       ExchangeEnd::Broken, "", true},
+      {"no length, end, the rest of the request is read", Head + "\r\nbody",
+       Then::EndAndRead, ExchangeEnd::Answered, "body", false},
+      {"no length, end, the rest of the request is not read", Head + "\r\nbody",
+       Then::End, ExchangeEnd::Answered, "body", false},
+      {"whole by its length, then reset",
+       Head + "Content-Length: 4\r\n\r\nbody", Then::Reset,
+       ExchangeEnd::Answered, "body", false},
+      {"whole by its chunks, then reset",
+       Head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+       Then::Reset, ExchangeEnd::Answered, "body", false},
+  };
+  // More than the kernel holds on both sides.
+  constexpr size_t UploadBytes = 32ULL << 20;
+  ClientPolicy Policy;
+  Policy.m_SilenceTimeout = 300ms;
+  for (const Case &Each : Cases)
+    // Whether the client reads what has come before each next step.
+    for (bool IsReadBefore : {false, true}) {
+      CAPTURE(std::string(Each.m_Name));
+      CAPTURE(IsReadBefore);
+      Fixture Test(Policy);
+      Test.ask("a", std::string(UploadBytes, 'x'));
+      auto Peer = Test.serve();
+      Peer->send(Each.m_Bytes);
+      if (IsReadBefore)
+        runUntil(
+            Test.m_Loop, [] { return false; }, 20ms);
+      if (Each.m_Then == Then::Reset) {
+        Peer->reset();
+      } else if (Each.m_Then != Then::StopReading) {
+        Peer->m_Socket.shutdown(tcp::socket::shutdown_send);
+        if (IsReadBefore)
+          runUntil(
+              Test.m_Loop, [] { return false; }, 20ms);
+        if (Each.m_Then == Then::EndAndReset)
+          Peer->reset();
+      }
+      REQUIRE(runUntil(Test.m_Loop, [&] {
+        if (Each.m_Then == Then::EndAndRead)
+          Peer->received();
+        return Test.m_Result.has_value();
+      }));
+      CHECK(std::string(exchangeEndName(Test.m_Result->m_End)) ==
+            std::string(exchangeEndName(Each.m_End)));
+      CHECK(Test.m_Result->m_ClosedByServer == Each.m_ClosedByServer);
+      CHECK(Test.m_Result->m_Answer.body() == Each.m_Body);
+    }
+}
+
+// The server runs on a thread of its own, so that the reset meets the write and
+// the read at any point.
+TEST_CASE(
+    "a reset at any moment of an upload leaves no answer without length") {
+  constexpr uint32_t Seeds = 50;
+  for (uint32_t Seed = 1; Seed <= Seeds; ++Seed) {
+    CAPTURE(Seed);
+    std::mt19937 Random(Seed);
+    size_t UploadBytes = size_t(1) << (16 + Random() % 10);
+    std::string Part(Random() % 20000, 'y');
+    std::chrono::microseconds Pause(Random() % 3000);
+    bool ReadsOn = Random() % 2 == 0;
+    Fixture Test;
+    Test.ask("a", std::string(UploadBytes, 'x'));
+    std::thread Server([&] {
+      std::unique_ptr<RawSocket> Peer;
+      while (!Peer || Peer->received().find("\r\n\r\n") == std::string::npos) {
+        if (!Peer)
+          Peer = Test.m_Server.accept();
+        std::this_thread::yield();
+      }
+      Peer->send("HTTP/1.1 200 OK\r\nId: a\r\n\r\n" + Part);
+      auto End = std::chrono::steady_clock::now() + Pause;
+      while (std::chrono::steady_clock::now() < End) {
+        if (ReadsOn)
+          Peer->received();
+        std::this_thread::yield();
+      }
+      Peer->reset();
+    });
+    bool HasEnded = Test.waitForResult();
+    Server.join();
+    REQUIRE(HasEnded);
+    CHECK(Test.m_Result->m_End == ExchangeEnd::Broken);
+    CHECK(Test.m_Result->m_ClosedByServer);
+  }
+}
+
 TEST_CASE("bytes that come without end are not kept") {
   struct Case {
     const char *m_Name;
