A field name with a blank in front makes an answer malformed

Callers saw: a server answered with a field whose name began with a blank, such as " Content-Length: 2". The caller got status 200 with that line at the end of the value of the field before, and, where the line was the length, a body of another length.

Cause: such a line is an obsolete line folding, which the parser joins to the field before it. Other blanks and control bytes in a name are refused by the parser; the tests of these cases passed before and stay.

Done: an answer with a folded line ends as malformed, as RFC 9112, section 5.2, allows a proxy to do. Requests with one are refused already. The parser takes whole fields, so the check finds a folded line in any segmentation.

--- a/libs/http/src/AnswerHead.cpp
+++ b/libs/http/src/AnswerHead.cpp
@@ -26,4 +26,9 @@
          boost::beast::iequals(Range.first->value(), "chunked");
 }
 
+bool hasFoldedLine(std::string_view Head) {
+  return Head.find("\r\n ") != std::string_view::npos ||
+         Head.find("\r\n\t") != std::string_view::npos;
+}
+
 } // namespace hyssopcross::http
--- a/libs/http/src/AnswerHead.h
+++ b/libs/http/src/AnswerHead.h
@@ -4,6 +4,7 @@
 #include "hyssopcross/http/Message.h"
 #include <chrono>
 #include <optional>
+#include <string_view>
 
 namespace hyssopcross::http {
 
@@ -14,6 +15,11 @@
 /// one would be lost where the body is passed on.
 bool hasKnownCoding(const Fields &Headers);
 
+/// Whether a line of a head begins with a blank. The parser folds it into the
+/// field before it, as RFC 9112, section 5.2, allows, and that hides a field
+/// whose name has a blank in front.
+bool hasFoldedLine(std::string_view Head);
+
 } // namespace hyssopcross::http
 
 #endif
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -315,7 +315,13 @@
   error_code Failure;
   while (m_Buffer.size() > 0 && !Failure && !m_Parser->is_done()) {
     bool WasInHead = !m_Parser->is_header_done();
-    m_Buffer.consume(m_Parser->put(m_Buffer.data(), Failure));
+    auto Input = m_Buffer.cdata();
+    size_t Used = m_Parser->put(Input, Failure);
+    // The parser takes a field with all of its lines at once.
+    std::string_view Taken(static_cast<const char *>(Input.data()), Used);
+    if (WasInHead && hasFoldedLine(Taken))
+      return finish(ExchangeEnd::Malformed);
+    m_Buffer.consume(Used);
     if (WasInHead && m_Parser->is_header_done() && !Failure && !headRead())
       return;
   }
--- a/libs/http/tests/ClientTest.cpp
+++ b/libs/http/tests/ClientTest.cpp
@@ -102,6 +102,9 @@
        Then::Close, ExchangeEnd::Answered, "body"},
       {"no length, reset", "HTTP/1.1 200 OK\r\nId: a\r\n\r\nbody", Then::Reset,
        ExchangeEnd::Broken, ""},
+      {"a body whose lines begin with a blank",
+       "HTTP/1.1 200 OK\r\nId: a\r\n\r\n a\r\n b", Then::Close,
+       ExchangeEnd::Answered, " a\r\n b"},
       {"another request's answer first",
        "HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 1\r\n\r\nz" + Good,
        Then::Keep, ExchangeEnd::Answered, "ok"},
@@ -261,6 +264,69 @@
   }
 }
 
+TEST_CASE("an answer with a faulty head is none") {
+  struct Case {
+    const char *m_Name;
+    std::string m_Head;
+  };
+  const std::string Head = "HTTP/1.1 200 OK\r\nId: a\r\n";
+  const Case Cases[] = {
+      {"a blank in a name", Head + "Na me: value\r\n"},
+      {"a blank after a name", Head + "Name : value\r\n"},
+      {"a blank before a name", Head + " Name: value\r\n"},
+      {"a tab before a name", Head + "\tName: value\r\n"},
+      {"a blank before the first name",
+       "HTTP/1.1 200 OK\r\n Name: value\r\nId: a\r\n"},
+      {"a blank line before a name", Head + " \r\nName: value\r\n"},
+      {"a tab in a name", Head + "Na\tme: value\r\n"},
+      {"a null byte in a name",
+       Head + "Na" + std::string(1, '\0') + "me: value\r\n"},
+      {"an escape in a name", Head + "Na\x1bme: value\r\n"},
+      {"a deleted byte in a name", Head + "Na\x7fme: value\r\n"},
+      {"a line feed in a name", Head + "Na\nme: value\r\n"},
+      {"a carriage return in a name", Head + "Na\rme: value\r\n"},
+      {"a byte beyond ASCII in a name", Head + "Na\xe9me: value\r\n"},
+      {"no name", Head + ": value\r\n"},
+      {"no colon", Head + "Name\r\n"},
+      {"a blank after the name of the length", Head + "Content-Length : 2\r\n"},
+      {"a blank before the name of the length",
+       Head + " Content-Length: 2\r\n"},
+      {"a blank after the name of the coding",
+       Head + "Transfer-Encoding : chunked\r\n"},
+  };
+  for (const Case &Each : Cases)
+    for (const char *Framing :
+         {"", "Content-Length: 2\r\n", "Connection: close\r\n"})
+      for (bool IsInPieces : {false, true})
+        for (bool Closes : {false, true}) {
+          CAPTURE(std::string(Each.m_Name));
+          CAPTURE(std::string(Framing));
+          CAPTURE(IsInPieces);
+          CAPTURE(Closes);
+          Fixture Test;
+          Test.ask("a");
+          auto Peer = Test.serve();
+          std::string Bytes = Each.m_Head + Framing + "\r\nok";
+          size_t PieceBytes = IsInPieces ? 1 : Bytes.size();
+          for (size_t I = 0; I < Bytes.size() && !Test.m_Result;
+               I += PieceBytes) {
+            Peer->send(Bytes.substr(I, PieceBytes));
+            Test.m_Loop.restart();
+            Test.m_Loop.poll();
+          }
+          if (Closes)
+            Peer->close();
+          bool HasEnded = runUntil(
+              Test.m_Loop, [&] { return Test.m_Result.has_value(); }, 500ms);
+          CHECK(HasEnded);
+          if (!HasEnded)
+            continue;
+          CHECK(std::string(exchangeEndName(Test.m_Result->m_End)) ==
+                std::string(exchangeEndName(ExchangeEnd::Malformed)));
+          CHECK(Test.m_Result->m_Answer.body().empty());
+        }
+}
+
 TEST_CASE("bytes that come without end are not kept") {
   struct Case {
     const char *m_Name;
