A status below 100 ends an exchange as malformed

Callers saw: a server answered with status 000 and kept its connection open. No caller got that as an answer, which the tests keep; but a request that runs once was held until the timeout of its route (504 after 2.0 s), and one that may be repeated was not sent to another server before.

Cause: an answer with a status below 200 was taken for an interim one and skipped, and the client waited for the next.

Done: a status below 100 is none, so the exchange ends at once. Interim answers (100 to 199) are skipped as before.

--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -341,7 +341,7 @@
 }
 
 bool ClientConnection::headRead() {
-  if (!hasKnownCoding(m_Parser->get())) {
+  if (!hasValidStatus(m_Parser->get()) || !hasKnownCoding(m_Parser->get())) {
     finish(ExchangeEnd::Malformed);
     return false;
   }
--- a/libs/http/tests/ClientTest.cpp
+++ b/libs/http/tests/ClientTest.cpp
@@ -102,6 +102,9 @@
        Then::Close, ExchangeEnd::Answered, "body"},
       {"no length, reset", "HTTP/1.1 200 OK\r\nId: a\r\n\r\nbody", Then::Reset,
        ExchangeEnd::Broken, ""},
+      {"status 000 before an answer",
+       "HTTP/1.1 000 \r\nId: a\r\nContent-Length: 0\r\n\r\n" + Good, Then::Keep,
+       ExchangeEnd::Malformed, ""},
       {"a body whose lines begin with a blank",
        "HTTP/1.1 200 OK\r\nId: a\r\n\r\n a\r\n b", Then::Close,
        ExchangeEnd::Answered, " a\r\n b"},
@@ -271,6 +274,11 @@
   };
   const std::string Head = "HTTP/1.1 200 OK\r\nId: a\r\n";
   const Case Cases[] = {
+      {"status 000", "HTTP/1.1 000 \r\nId: a\r\n"},
+      {"status 000 with a reason", "HTTP/1.1 000 Unknown\r\nId: a\r\n"},
+      {"status 099", "HTTP/1.1 099 Odd\r\nId: a\r\n"},
+      {"status of two digits", "HTTP/1.1 20 OK\r\nId: a\r\n"},
+      {"status of four digits", "HTTP/1.1 2000 OK\r\nId: a\r\n"},
       {"a blank in a name", Head + "Na me: value\r\n"},
       {"a blank after a name", Head + "Name : value\r\n"},
       {"a blank before a name", Head + " Name: value\r\n"},
