--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -390,8 +390,8 @@
   if (!m_Done)
     return;
   if (m_AwaitsWrite) {
-    // A server that ended its side in order and reads no more has not cut its
-    // answer.
+    // The server's side had ended in order before, so that a server which only
+    // stops reading has not cut its answer.
     if (Failure == boost::asio::error::timed_out)
       m_WriteFailure.clear();
     return serverEnded();
--- a/libs/http/tests/ClientTest.cpp
+++ b/libs/http/tests/ClientTest.cpp
@@ -177,7 +177,7 @@
       {"cut chunks, reset",
        Head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", Then::Reset,
        ExchangeEnd::Broken, "", true},
-      // What a close does whose server has read all that has arrived.
+      // As when a server closes after it has read everything received so far.
       {"no length, end, then reset", Head + "\r\npart", Then::EndAndReset,
        ExchangeEnd::Broken, "", true},
       {"no length, end, the rest of the request is read", Head + "\r\nbody",
@@ -229,10 +229,10 @@
     }
 }
 
-// The server runs on a thread of its own, so that the reset meets the write and
-// the read at any point.
+// The server runs on its own thread, so that the reset can come at any point of
+// the client's writes and reads.
 TEST_CASE(
-    "a reset at any moment of an upload leaves no answer without length") {
+    "a reset during an upload breaks an answer without a length at any time") {
   constexpr uint32_t Seeds = 50;
   for (uint32_t Seed = 1; Seed <= Seeds; ++Seed) {
     CAPTURE(Seed);
@@ -267,7 +267,7 @@
   }
 }
 
-TEST_CASE("an answer with a faulty head is none") {
+TEST_CASE("an answer with a malformed head is rejected") {
   struct Case {
     const char *m_Name;
     std::string m_Head;
