Withdraw the change for a status below 100

Cause: no caller got such an answer before either, as the client skips it; the issue asks to change nothing for a case that is handled. Done: the check is gone. Comments reworded.

--- a/libs/http/src/AnswerHead.cpp
+++ b/libs/http/src/AnswerHead.cpp
@@ -17,10 +17,6 @@
   return std::chrono::seconds(Seconds);
 }
 
-bool hasValidStatus(const Response::header_type &Head) {
-  return Head.result_int() >= 100;
-}
-
 bool hasKnownCoding(const Fields &Headers) {
   auto Range =
       Headers.equal_range(boost::beast::http::field::transfer_encoding);
--- a/libs/http/src/AnswerHead.h
+++ b/libs/http/src/AnswerHead.h
@@ -11,11 +11,6 @@
 /// The seconds that a Keep-Alive header names as "timeout=N".
 std::optional<std::chrono::seconds> statedTimeout(const Fields &Headers);
 
-/// Whether the status of an answer is 100 or more; the parser takes any three
-/// digits. One beyond 599 counts as a failure of the server (RFC 9110, section
-/// 15).
-bool hasValidStatus(const Response::header_type &Head);
-
 /// Whether the body of an answer has no transfer coding but chunked. Another
 /// one would be lost where the body is passed on.
 bool hasKnownCoding(const Fields &Headers);
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -241,7 +241,7 @@
   ExchangeCallback m_Done;
   bool m_Writing = false;
   bool m_MayBeSent = false;
-  /// Why the request could not be written as a whole.
+  /// The error of the write of the request, if it failed.
   error_code m_WriteFailure;
   /// The server has ended its side; whether that cuts its answer depends on how
   /// the write of the request ends.
@@ -317,7 +317,7 @@
     bool WasInHead = !m_Parser->is_header_done();
     auto Input = m_Buffer.cdata();
     size_t Used = m_Parser->put(Input, Failure);
-    // The parser takes a field with all of its lines at once.
+    // The parser consumes a field and its folded lines in one call.
     std::string_view Taken(static_cast<const char *>(Input.data()), Used);
     if (WasInHead && hasFoldedLine(Taken))
       return finish(ExchangeEnd::Malformed);
@@ -341,7 +341,7 @@
 }
 
 bool ClientConnection::headRead() {
-  if (!hasValidStatus(m_Parser->get()) || !hasKnownCoding(m_Parser->get())) {
+  if (!hasKnownCoding(m_Parser->get())) {
     finish(ExchangeEnd::Malformed);
     return false;
   }
@@ -403,8 +403,8 @@
 }
 
 void ClientConnection::serverEnded() {
-  // The kernel reports the error of a connection only once: if the write got
-  // it, the read saw an orderly end.
+  // The kernel reports the error of a connection to one call only. After the
+  // write got it, the read returned an end of file.
   if (m_WriteFailure)
     return answerRead(m_WriteFailure);
   if (!m_Parser->got_some())
