--- a/review/standins-3/Drill.cpp
+++ b/review/standins-3/Drill.cpp
@@ -68,6 +68,10 @@
       Seen.m_Answered += Answer.status() == 200 ? 1 : 0;
       Seen.m_Refused += Answer.status() == 503 ? 1 : 0;
       std::lock_guard<std::mutex> Held(Guard);
+      const std::string &By = RunBy[Id];
+      record(On.vm(I % Vms).host() + " was sent " + Id + ": " +
+             std::to_string(Answer.status()) + ", " +
+             (By.empty() ? std::string("not run") : "run by " + By));
       Seen.m_InEvacuated +=
           RunBy[Id].find("aqp-c") != std::string::npos ? 1 : 0;
       sleepMs(5);
--- a/review/standins-3/HeadMemory.cpp
+++ b/review/standins-3/HeadMemory.cpp
@@ -41,6 +41,7 @@
       std::lock_guard<std::mutex> Held(Guard);
       Begun.insert(Started.m_Request.header("Attempt-Id"));
     }
+    record(At.id() + " runs " + Started.m_Request.header("Attempt-Id"));
     if (Started.m_With.waitForEnd(WorkMs)) {
       Started.m_KeepOpen = false;
       return;
@@ -79,6 +80,8 @@
         Message Answer = To.read(2500, true);
         if (Answer.m_IsWhole) {
           Answered += Answer.status() == 200 ? 1 : 0;
+          record("caller " + std::to_string(I) + " sent " + Id + ": " +
+                 std::to_string(Answer.status()));
           sleepMs(Answer.status() == 200 ? 0 : 50);
           continue;
         }
@@ -110,7 +113,10 @@
   int64_t Most = 0;
   for (int I = 0; I < Connections && !Killed; ++I) {
     Crowd.push_back(std::make_unique<Connection>(On.vm(0).host(), FrontPort));
-    Crowd.back()->send(headOf(I));
+    std::string Head = headOf(I);
+    Crowd.back()->send(Head);
+    record("upload " + std::to_string(I + 1) + " begun, a head of " +
+           std::to_string(Head.size()) + " bytes");
     Most = std::max(Most, On.vm(0).ownMb());
     if (I % 200 == 199)
       record(std::to_string(I + 1) + " uploads begun, the machine holds " +
