Read an answer of the store by what its call asked for

Callers saw requests sent to an evacuated data centre after a drill of the store, until its row changed, or, with one VM, all requests refused because all servers counted as gone.

Cause: both tables waited for a retry when the store returned. The success of the first asked for the changes of the other at once, and the era that the first began then marked the other as to be read whole, with the call for its changes under way. The answer was read by that mark: a few changed rows were taken for the whole table, and all others for removed.

A call now keeps whether it asked for the whole table.

--- a/libs/gateway/src/DiscoveryClient.cpp
+++ b/libs/gateway/src/DiscoveryClient.cpp
@@ -169,31 +169,32 @@
   if (IsNew)
     return pauseThenNext(Of);
   Duration Wait = watchTime(Of);
-  http::Request Asked;
-  if (Of.m_MustRead) {
+  AskedRows Asked{Of.m_MustRead, Wait > Duration(0)};
+  http::Request Request;
+  if (Asked.m_IsWhole) {
     std::string_view From;
     if (!Of.m_Pages.m_Rows.empty())
       From = Of.m_Pages.m_Rows.back().m_Key;
-    Asked = m_State.m_PlatformCodec.m_EncodeReadAll(Of.m_Which, From);
+    Request = m_State.m_PlatformCodec.m_EncodeReadAll(Of.m_Which, From);
   } else {
     Of.m_After = Of.m_Copy.m_UpTo;
     Of.m_ChangedBefore = Of.m_Copy.m_LastChange;
-    Asked = m_State.m_PlatformCodec.m_EncodeWatch(Of.m_Which,
-                                                  Of.m_After.m_Version, Wait);
+    Request = m_State.m_PlatformCodec.m_EncodeWatch(Of.m_Which,
+                                                    Of.m_After.m_Version, Wait);
   }
-  m_State.m_Metrics.count(Of.m_MustRead ? "store_read" : "store_watch");
-  Of.m_IsWatch = Wait > Duration(0);
+  m_State.m_Metrics.count(Asked.m_IsWhole ? "store_read" : "store_watch");
   logEvent(LogLevel::Debug, "store_call",
            {{"table", tableName(Of.m_Which)},
-            {"whole", Of.m_MustRead},
+            {"whole", Asked.m_IsWhole},
             {"era", Of.m_Copy.m_UpTo.m_Era},
             {"after", Of.m_Copy.m_UpTo.m_Version},
             {"wait_ms", toMillis(Wait)},
             {"follower", m_IsFollower},
             {"announced_era", Of.m_Announced.m_Era},
             {"announced", Of.m_Announced.m_Version}});
-  call(Of, m_State.m_Settings.m_Store, std::move(Asked),
-       Of.m_IsWatch ? Wait + WatchSlack : StoreTimeout,
+  Of.m_Asked = Asked;
+  call(Of, m_State.m_Settings.m_Store, std::move(Request),
+       Asked.m_IsWatch ? Wait + WatchSlack : StoreTimeout,
        &DiscoveryClient::answered);
 }
 
@@ -229,7 +230,7 @@
     return failed(Of, StoreFailure::EarlierEra);
   discovery::onCallSucceeded(Of.m_Pace);
   m_ConfirmedAt = m_State.now();
-  if (Of.m_MustRead) {
+  if (Of.m_Asked.m_IsWhole) {
     pageRead(Of, std::move(Received));
     return;
   }
@@ -309,7 +310,7 @@
   // Restart the watch of the other table, which would notice the failure much
   // later.
   for (Follower &Other : m_Followers)
-    if (&Other != &Of && Other.m_Call && Other.m_IsWatch) {
+    if (&Other != &Of && Other.m_Call && Other.m_Asked.m_IsWatch) {
       dropCall(Other);
       next(Other);
     }
@@ -393,7 +394,7 @@
                          11);
   Question.set(boost::beast::http::field::host, Asked->m_Info.m_Host);
   m_State.m_Metrics.count("peer_rows_asked");
-  Of.m_IsWatch = false;
+  Of.m_Asked = {};
   call(Of, {Asked->m_Info.m_Host, m_State.m_Settings.m_Internal.m_Port},
        std::move(Question), IsWhole ? WholeTableTimeout : PeerTimeout,
        &DiscoveryClient::peerAnswered);
@@ -509,7 +510,7 @@
         Each.isBehind() && Now - Each.m_AnnouncedAt > CatchUpTimeout;
     // A watch that has not returned a change already announced by other VMs
     // hangs: its store or connection no longer responds.
-    if (IsBehind && Each.m_Call && Each.m_IsWatch) {
+    if (IsBehind && Each.m_Call && Each.m_Asked.m_IsWatch) {
       logEvent(LogLevel::Warning, "watch_overtaken",
                {{"table", tableName(Each.m_Which)},
                 {"known_era", Each.m_Copy.m_UpTo.m_Era},
--- a/libs/gateway/src/DiscoveryClient.h
+++ b/libs/gateway/src/DiscoveryClient.h
@@ -52,6 +52,15 @@
   uint64_t era() const;
 
 private:
+  /// What a call asked for, which decides how its answer is read. The flags of
+  /// its follower may change before the answer arrives.
+  struct AskedRows {
+    /// The whole table, not only changes.
+    bool m_IsWhole = false;
+    /// The call waits for changes.
+    bool m_IsWatch = false;
+  };
+
   struct Follower {
     FollowedTable m_Which = FollowedTable::Operator;
     discovery::Table m_Copy;
@@ -59,6 +68,8 @@
     /// Pages read so far of a snapshot.
     discovery::RowBatch m_Pages;
     std::shared_ptr<http::TimedExchange> m_Call;
+    /// What the call in progress, or the last one, asked for.
+    AskedRows m_Asked;
     /// Timer of the pause between two calls.
     std::unique_ptr<boost::asio::steady_timer> m_Timer;
     discovery::Revision m_After;
@@ -69,8 +80,6 @@
     TimePoint m_AnnouncedAt{};
     /// Host of the VM that announced this revision first.
     std::string m_AnnouncedBy;
-    /// The call in progress is a watch that waits for changes.
-    bool m_IsWatch = false;
     /// The whole table must be read; true until it has been read once.
     bool m_MustRead = true;
     /// The last call to the store failed.
--- a/libs/gateway/src/DiscoveryRows.cpp
+++ b/libs/gateway/src/DiscoveryRows.cpp
@@ -40,7 +40,7 @@
     if (Other.m_Copy.m_UpTo.m_Era >= Of.m_Copy.m_UpTo.m_Era || !m_IsFollower)
       continue;
     Other.m_MustRead = true;
-    if (Other.m_Call && Other.m_IsWatch)
+    if (Other.m_Call && Other.m_Asked.m_IsWatch)
       dropCall(Other);
     next(Other);
   }
