Keep the revision that a call asks after with the call

After the store returned from an older copy, a VM could skip an acknowledged configuration and keep the older one until the next change.

Cause: the revision after which a batch holds all changes stood beside the copy, and rows forwarded by another VM overwrote it while a call was under way. The answer to a watch after a version of the former era was then applied to the copy of the new one, and rows between the two versions were never asked for again.

No record of users shows it.

The revision is now part of what the call asked for, rows of other VMs carry their own, and an answer after a revision of another era is dropped. A watch of the former era is ended when another VM's rows begin the next.

--- a/libs/gateway/src/DiscoveryClient.cpp
+++ b/libs/gateway/src/DiscoveryClient.cpp
@@ -169,7 +169,8 @@
   if (IsNew)
     return pauseThenNext(Of);
   Duration Wait = watchTime(Of);
-  AskedRows Asked{Of.m_MustRead, Wait > Duration(0)};
+  AskedRows Asked{Of.m_MustRead, Of.m_Copy.m_UpTo, Of.m_Copy.m_LastChange,
+                  Wait > Duration(0)};
   http::Request Request;
   if (Asked.m_IsWhole) {
     std::string_view From;
@@ -177,17 +178,15 @@
       From = Of.m_Pages.m_Rows.back().m_Key;
     Request = m_State.m_PlatformCodec.m_EncodeReadAll(Of.m_Which, From);
   } else {
-    Of.m_After = Of.m_Copy.m_UpTo;
-    Of.m_ChangedBefore = Of.m_Copy.m_LastChange;
-    Request = m_State.m_PlatformCodec.m_EncodeWatch(Of.m_Which,
-                                                    Of.m_After.m_Version, Wait);
+    Request = m_State.m_PlatformCodec.m_EncodeWatch(
+        Of.m_Which, Asked.m_After.m_Version, Wait);
   }
   m_State.m_Metrics.count(Asked.m_IsWhole ? "store_read" : "store_watch");
   logEvent(LogLevel::Debug, "store_call",
            {{"table", tableName(Of.m_Which)},
             {"whole", Asked.m_IsWhole},
-            {"era", Of.m_Copy.m_UpTo.m_Era},
-            {"after", Of.m_Copy.m_UpTo.m_Version},
+            {"era", Asked.m_After.m_Era},
+            {"after", Asked.m_After.m_Version},
             {"wait_ms", toMillis(Wait)},
             {"follower", m_IsFollower},
             {"announced_era", Of.m_Announced.m_Era},
@@ -239,6 +238,9 @@
     Of.m_MustRead = true;
     return next(Of);
   }
+  // Another VM's rows have begun the era of the copy since the call was sent.
+  if (Of.m_Asked.m_After.m_Era != KnownEra)
+    return next(Of);
   restored(Of);
   applyStoreBatch(Of, Received);
   if (Received.m_Rows.empty() && !Of.isBehind())
@@ -265,7 +267,6 @@
     if (Whole.m_UpTo < Of.m_Copy.m_UpTo)
       return failed(Of, StoreFailure::Unavailable);
     Of.m_MustRead = false;
-    Of.m_After = Of.m_Copy.m_UpTo;
     restored(Of);
     applyStoreBatch(Of, Whole);
   }
@@ -301,8 +302,8 @@
   if (Why == StoreFailure::HistoryLost) {
     logEvent(LogLevel::Info, "store_history_lost",
              {{"table", tableName(Of.m_Which)},
-              {"era", Of.m_After.m_Era},
-              {"after", Of.m_After.m_Version}});
+              {"era", Of.m_Asked.m_After.m_Era},
+              {"after", Of.m_Asked.m_After.m_Version}});
     Of.m_MustRead = true;
     discovery::onCallSucceeded(Of.m_Pace);
     return next(Of);
@@ -384,17 +385,18 @@
     Asked = &Announcer->second;
   if (!Asked)
     return false;
-  Of.m_After =
-      Of.m_Copy.m_IsComplete ? Of.m_Copy.m_UpTo : discovery::Revision();
+  AskedRows Rows;
+  if (Of.m_Copy.m_IsComplete)
+    Rows.m_After = Of.m_Copy.m_UpTo;
   http::Request Question(boost::beast::http::verb::get,
                          std::string(RowsPath) + "?table=" +
                              std::to_string(static_cast<uint32_t>(Of.m_Which)) +
-                             "&era=" + std::to_string(Of.m_After.m_Era) +
-                             "&after=" + std::to_string(Of.m_After.m_Version),
+                             "&era=" + std::to_string(Rows.m_After.m_Era) +
+                             "&after=" + std::to_string(Rows.m_After.m_Version),
                          11);
   Question.set(boost::beast::http::field::host, Asked->m_Info.m_Host);
   m_State.m_Metrics.count("peer_rows_asked");
-  Of.m_Asked = {};
+  Of.m_Asked = Rows;
   call(Of, {Asked->m_Info.m_Host, m_State.m_Settings.m_Internal.m_Port},
        std::move(Question), IsWhole ? WholeTableTimeout : PeerTimeout,
        &DiscoveryClient::peerAnswered);
@@ -407,7 +409,7 @@
       Result.m_Answer.result_int() == 200) {
     auto Rows = fleet::decodeRows(Result.m_Answer.body());
     if (Rows) {
-      apply(Of, Rows.value().m_Batch);
+      apply(Of, Rows.value().m_Batch, Of.m_Asked.m_After);
       Of.m_MustRead = Of.m_MustRead && !Of.m_Copy.m_IsComplete;
       m_State.m_Metrics.count("peer_rows_taken");
     } else {
@@ -561,8 +563,7 @@
   bool HasGap = !News.m_Batch.m_IsSnapshot && News.m_After > Own.m_Copy.m_UpTo;
   if (!Own.m_Copy.m_IsComplete || HasGap)
     return;
-  Own.m_After = News.m_After;
-  apply(Own, News.m_Batch);
+  apply(Own, News.m_Batch, News.m_After);
 }
 
 Result<fleet::TableRows> DiscoveryClient::rowsAfter(uint32_t Table,
@@ -582,13 +583,13 @@
   discovery::Revision Before = Of.m_Copy.m_UpTo;
   discovery::Revision ChangedBefore = Of.m_Copy.m_LastChange;
   bool WasComplete = Of.m_Copy.m_IsComplete;
-  std::vector<discovery::Change> Changes = apply(Of, Batch);
+  std::vector<discovery::Change> Changes = apply(Of, Batch, Of.m_Asked.m_After);
   if (!m_IsFollower || !WasComplete)
     return;
   // Of a snapshot, forward only the rows that are new to this VM: the others
   // know the rest, unless it begins an era.
   discovery::ForwardedRows News =
-      discovery::rowsToForward(Batch, Of.m_ChangedBefore);
+      discovery::rowsToForward(Batch, Of.m_Asked.m_ChangedBefore);
   if (Batch.m_IsSnapshot && Batch.m_UpTo.m_Era == Before.m_Era) {
     News = {ChangedBefore, {{}, Batch.m_UpTo}};
     for (discovery::Change &Each : Changes)
@@ -602,11 +603,12 @@
 }
 
 std::vector<discovery::Change>
-DiscoveryClient::apply(Follower &Of, const discovery::RowBatch &Batch) {
+DiscoveryClient::apply(Follower &Of, const discovery::RowBatch &Batch,
+                       discovery::Revision After) {
   discovery::Revision Former = Of.m_Copy.m_UpTo;
   bool WasComplete = Of.m_Copy.m_IsComplete;
   std::vector<discovery::Change> Changes =
-      discovery::applyBatch(Of.m_Copy, Batch, Of.m_After, m_State.now());
+      discovery::applyBatch(Of.m_Copy, Batch, After, m_State.now());
   if (WasComplete && Of.m_Copy.m_UpTo.m_Era != Former.m_Era)
     eraBegan(Of, Former);
   updateStoreReachability();
--- a/libs/gateway/src/DiscoveryClient.h
+++ b/libs/gateway/src/DiscoveryClient.h
@@ -52,11 +52,14 @@
   uint64_t era() const;
 
 private:
-  /// What a call asked for, which decides how its answer is read. The flags of
-  /// its follower may change before the answer arrives.
+  /// What a call asked for, which decides how its answer is read. The copy and
+  /// the flags of its follower may change before the answer arrives.
   struct AskedRows {
-    /// The whole table, not only changes.
+    /// The whole table, or else the changes after m_After.
     bool m_IsWhole = false;
+    discovery::Revision m_After;
+    /// The newest change that the copy included.
+    discovery::Revision m_ChangedBefore;
     /// The call waits for changes.
     bool m_IsWatch = false;
   };
@@ -72,9 +75,6 @@
     AskedRows m_Asked;
     /// Timer of the pause between two calls.
     std::unique_ptr<boost::asio::steady_timer> m_Timer;
-    discovery::Revision m_After;
-    /// Revision of the newest change known when the call started.
-    discovery::Revision m_ChangedBefore;
     /// Revision of the newest change that another VM has announced.
     discovery::Revision m_Announced;
     TimePoint m_AnnouncedAt{};
@@ -137,9 +137,11 @@
   bool needsCall(const Follower &Of) const;
   /// Applies a batch from the store and forwards its changes.
   void applyStoreBatch(Follower &Of, const discovery::RowBatch &Batch);
-  /// Applies a batch; returns the rows that were new to this VM.
+  /// Applies a snapshot, or a batch of all changes after the revision After;
+  /// returns the rows that were new to this VM.
   std::vector<discovery::Change> apply(Follower &Of,
-                                       const discovery::RowBatch &Batch);
+                                       const discovery::RowBatch &Batch,
+                                       discovery::Revision After);
   void applyOperatorChange(const discovery::Change &Changed);
   void applyOperatorRow(const discovery::Row &Changed);
   void applyServerChange(const discovery::Change &Changed);
--- a/libs/gateway/src/DiscoveryRows.cpp
+++ b/libs/gateway/src/DiscoveryRows.cpp
@@ -36,6 +36,11 @@
   for (auto &[Id, Each] : m_State.m_Servers.m_Servers)
     if (Each.m_RemoveAt != TimePoint::max())
       Each.m_RemoveAt = m_DeferredUntil;
+  // A watch waits for changes after a version of the former era.
+  if (Of.m_Call && Of.m_Asked.m_IsWatch) {
+    dropCall(Of);
+    next(Of);
+  }
   for (Follower &Other : m_Followers) {
     if (Other.m_Copy.m_UpTo.m_Era >= Of.m_Copy.m_UpTo.m_Era || !m_IsFollower)
       continue;
