Register again if an era began before the answer to the registration

A VM that follows the store could be missing from the store's list of VMs for good.

Cause: when an era of the store begins, a VM forgets that it is registered. The answer to a registration of the former era, on its way at that time, set the mark again, although the store had lost the row.

An answer now counts only if no era has begun since the write was sent.

--- a/libs/gateway/src/DiscoveryClient.h
+++ b/libs/gateway/src/DiscoveryClient.h
@@ -183,6 +183,8 @@
   boost::asio::steady_timer m_RegisterTimer;
   discovery::CallBackoff m_RegisterPace;
   bool m_IsRegistered = false;
+  /// Beginnings of an era in either table, after the first read.
+  uint32_t m_ErasBegan = 0;
 };
 
 } // namespace hyssopcross::gateway
--- a/libs/gateway/src/DiscoveryRows.cpp
+++ b/libs/gateway/src/DiscoveryRows.cpp
@@ -23,6 +23,7 @@
   m_DeferredUntil = m_State.now() + RelistTime;
   // The store has lost the row of this VM, unless the copy already had it.
   m_IsRegistered = false;
+  ++m_ErasBegan;
   m_State.m_Metrics.count("store_era_began");
   logEvent(LogLevel::Warning, "store_era_began",
            {{"table", tableName(Of.m_Which)},
--- a/libs/gateway/src/DiscoveryVms.cpp
+++ b/libs/gateway/src/DiscoveryVms.cpp
@@ -49,20 +49,21 @@
 
 void DiscoveryClient::registerVm() {
   m_State.m_Metrics.count("store_write");
-  m_State.m_Client.send(m_State.m_Settings.m_Store,
-                        std::make_shared<http::Request>(
-                            m_State.m_PlatformCodec.m_EncodeRegisterVm(
-                                m_State.m_Settings.m_Host)),
-                        std::chrono::seconds(30), nullptr,
-                        [this](const http::ExchangeResult &Result) {
-                          bool Written =
-                              Result.m_End == http::ExchangeEnd::Answered &&
-                              Result.m_Answer.result_int() == 200;
-                          m_IsRegistered = Written;
-                          if (!Written)
-                            return retryLater(&DiscoveryClient::registerVm);
-                          listVms();
-                        });
+  m_State.m_Client.send(
+      m_State.m_Settings.m_Store,
+      std::make_shared<http::Request>(
+          m_State.m_PlatformCodec.m_EncodeRegisterVm(
+              m_State.m_Settings.m_Host)),
+      std::chrono::seconds(30), nullptr,
+      [this, Before = m_ErasBegan](const http::ExchangeResult &Result) {
+        // The store has lost what was written before it began an era.
+        m_IsRegistered = Result.m_End == http::ExchangeEnd::Answered &&
+                         Result.m_Answer.result_int() == 200 &&
+                         m_ErasBegan == Before;
+        if (!m_IsRegistered)
+          return retryLater(&DiscoveryClient::registerVm);
+        listVms();
+      });
 }
 
 void DiscoveryClient::listVms() {
