Give up a roll-out's call to the store when an era begins

After a drill of the store a roll-out that had been rolled back could stand in the store as running for good; operators act on what the store holds.

Cause: when an era begins, or after a freeze, a VM forgets what the store holds of a roll-out, but a call in progress went on. The answer to a write of the former era passed for what the store holds, and the other VMs were told so.

Evidence: the new test "an outcome is written again if the store returned before the answer to its write" found the store at running after 5 s before, and passes now.

The call in progress is given up where the VM forgets what the store holds, and what the store holds is read back, as after a write without an answer.

--- a/libs/gateway/src/RolloutHost.cpp
+++ b/libs/gateway/src/RolloutHost.cpp
@@ -211,8 +211,10 @@
   for (const auto &[Service, Each] : m_Active)
     All.push_back(Each);
   for (const ActiveRef &Each : All) {
-    // An older copy of the store may lack what was written.
+    // An older copy of the store may lack what was written, and a call in
+    // progress may be answered with what was true before.
     if (WasFrozen || IsNewEra) {
+      dropCall(*Each);
       Each->m_Stored.reset();
       Each->m_WantedSince = Now;
     }
