Do not count an attempt against a later start of its server

A server that had started again under its id, and was healthy, got no requests from a VM for 1.5 s, and callers got 503 where the other servers were slow.

Cause: the end of an attempt was counted for the id of its server. Attempts whose connections ended after the next start was registered counted as failures of that start, and three in a row eject a server.

An attempt at an earlier start now frees its place and says nothing about the later one. What a server announces was already held against its start.

--- a/libs/gateway/src/CallAttempts.cpp
+++ b/libs/gateway/src/CallAttempts.cpp
@@ -18,6 +18,13 @@
 /// Status of a server that is not the one that the request names.
 constexpr unsigned MisdirectedStatus = 421;
 
+/// Ends the count of an attempt of this VM. It is zero if the server was
+/// removed and registered again in the meantime.
+void endInFlight(dispatch::Server &At) {
+  if (At.m_OwnInFlight > 0)
+    --At.m_OwnInFlight;
+}
+
 } // namespace
 
 std::shared_ptr<const http::Request>
@@ -235,6 +242,12 @@
   if (Found == m_State.m_Servers.m_Servers.end())
     return;
   dispatch::Server &At = Found->second;
+  // An attempt at an earlier start says nothing about this one.
+  if (At.m_Record.m_Incarnation != Which.m_Incarnation) {
+    endInFlight(At);
+    m_Fleet.queueInFlight(At);
+    return;
+  }
   bool WasEjected = Now < At.m_EjectedUntil;
   dispatch::recordAttemptEnd(At, m_State.m_Settings.m_Dispatch, End, Took,
                              Which.m_Expected, Now);
@@ -403,8 +416,7 @@
   auto Found = m_State.m_Servers.m_Servers.find(Which.m_Server);
   if (Found == m_State.m_Servers.m_Servers.end())
     return;
-  if (Found->second.m_OwnInFlight > 0)
-    --Found->second.m_OwnInFlight;
+  endInFlight(Found->second);
   m_Fleet.queueInFlight(Found->second);
 }
 
