--- a/libs/gateway/src/DiscoveryRows.cpp
+++ b/libs/gateway/src/DiscoveryRows.cpp
@@ -37,7 +37,7 @@
   for (auto &[Id, Each] : m_State.m_Servers.m_Servers)
     if (Each.m_RemoveAt != TimePoint::max())
       Each.m_RemoveAt = m_DeferredUntil;
-  // A watch waits for changes after a version of the former era.
+  // The watch in progress asks after a version of the former era.
   if (Of.m_Call && Of.m_Asked.m_IsWatch) {
     dropCall(Of);
     next(Of);
